--- /dev/null
+++ b/crates/control/src/audit.rs
@@ -0,0 +1,66 @@
+//! Entries of the audit trail.
+
+use std::time::Duration;
+
+use almondbank_platform::clock::Clock;
+use almondbank_platform::table::{Table, Transaction};
+use almondbank_wire::row;
+
+use crate::{Result, key};
+
+/// One change to be put on record.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Operator or instance that makes it.
+    pub actor: String,
+    /// What is done, for example `apply`.
+    pub action: String,
+    /// What it is done to.
+    pub target: String,
+    /// Revision or fencing number before.
+    pub from: Option<u64>,
+    /// Revision or fencing number after.
+    pub to: Option<u64>,
+}
+
+/// Adds the record of `change` to `transaction`, so that both take effect together.
+#[must_use]
+pub fn record(
+    transaction: Transaction,
+    environment: &str,
+    clock: &dyn Clock,
+    change: Change,
+) -> Transaction {
+    let at_unix_ms = millis(clock.unix());
+    let name = transaction.id().replace('/', "-");
+    let entry = row::Audit {
+        actor: change.actor,
+        action: change.action,
+        target: change.target,
+        from: change.from,
+        to: change.to,
+        at_unix_ms,
+    };
+    transaction.put(
+        key::audit(environment, at_unix_ms, &name),
+        key::encode(&entry),
+    )
+}
+
+/// Reads the audit trail, oldest entry first.
+///
+/// # Errors
+///
+/// Fails if the table does not answer or a row is malformed.
+pub async fn history(table: &dyn Table, environment: &str) -> Result<Vec<row::Audit>> {
+    let rows = table.scan(&key::audits(environment)).await?;
+    rows.iter()
+        .map(|row| key::decode(&row.key, &row.value))
+        .collect()
+}
+
+/// `duration` in whole milliseconds.
+#[must_use]
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/catalog.rs
@@ -0,0 +1,251 @@
+//! The document in force, and how a new one is accepted.
+//!
+//! A document is accepted when one transaction has raised the environment's
+//! head row and written the audit record. Instances only ever move to a higher
+//! revision, whoever tells them of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_platform::clock::Clock;
+use almondbank_platform::commit;
+use almondbank_platform::objects::Objects;
+use almondbank_platform::table::{ABSENT, Outcome, Table, Transaction};
+use almondbank_wire::document::{self, Document};
+use almondbank_wire::{digest, id, row};
+use tokio::sync::watch;
+
+use crate::error::Code;
+use crate::{Result, audit, key};
+
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A document and its revision.
+#[derive(Clone, Debug, Default)]
+pub struct Edition {
+    /// Revision; 0 stands for the empty document before the first.
+    pub revision: id::Revision,
+    /// The document, checked.
+    pub document: Document,
+    /// The document as it was written.
+    pub text: String,
+}
+
+/// The edition in force at this instance.
+#[derive(Debug)]
+pub struct Catalog {
+    environment: String,
+    sender: watch::Sender<Arc<Edition>>,
+}
+
+impl Catalog {
+    /// Starts with the empty document.
+    #[must_use]
+    pub fn new(environment: impl Into<String>) -> Self {
+        Self {
+            environment: environment.into(),
+            sender: watch::Sender::new(Arc::default()),
+        }
+    }
+
+    /// The edition in force; a piece of work keeps the one it began under.
+    #[must_use]
+    pub fn current(&self) -> Arc<Edition> {
+        Arc::clone(&self.sender.borrow())
+    }
+
+    /// Follows the editions in force.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Edition>> {
+        self.sender.subscribe()
+    }
+
+    /// Puts an accepted document in force unless one as new is already.
+    ///
+    /// Returns whether it did.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the document has mistakes or is for another environment.
+    pub fn offer(&self, revision: id::Revision, text: &str) -> Result<bool> {
+        if revision <= self.sender.borrow().revision {
+            return Ok(false);
+        }
+        let document = check(&self.environment, text)?;
+        let edition = Arc::new(Edition {
+            revision,
+            document,
+            text: text.to_owned(),
+        });
+        let raised = self.sender.send_if_modified(|current| {
+            let newer = revision > current.revision;
+            if newer {
+                *current = edition;
+            }
+            newer
+        });
+        Ok(raised)
+    }
+}
+
+/// The newest accepted revision and where its text is.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The head row.
+    pub row: row::Head,
+    /// Version of the row.
+    pub version: u64,
+}
+
+/// Accepts documents through the platform's services.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    /// Table service.
+    pub table: Arc<dyn Table>,
+    /// Object store.
+    pub objects: Arc<dyn Objects>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// A document that an operator wants accepted.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    /// Environment.
+    pub environment: String,
+    /// Revision that it was made from; 0 if there was none.
+    pub base: id::Revision,
+    /// The document as YAML.
+    pub text: String,
+    /// Operator.
+    pub actor: String,
+    /// `apply` or `promote`.
+    pub action: String,
+}
+
+impl Registry {
+    /// Reads the newest accepted revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or the row is malformed.
+    pub async fn head(&self, environment: &str) -> Result<Option<Head>> {
+        let Some(found) = self.table.get(&key::head(environment)).await? else {
+            return Ok(None);
+        };
+        let row = key::decode(&found.key, &found.value)?;
+        Ok(Some(Head {
+            row,
+            version: found.version,
+        }))
+    }
+
+    /// Reads the text of a document from the object store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer or has no such object.
+    pub async fn text(&self, object: &str) -> Result<String> {
+        let missing = || Code::Missing(format!("object {object}"));
+        let body = self.objects.get(object).await?.ok_or_else(missing)?;
+        let text = String::from_utf8(body.to_vec()).map_err(|_| missing())?;
+        Ok(text)
+    }
+
+    /// Reads the text of one accepted revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such revision or the platform does not answer.
+    pub async fn revision(&self, environment: &str, revision: id::Revision) -> Result<String> {
+        let key = key::revision(environment, revision);
+        let missing = || Code::Missing(format!("revision {revision}"));
+        let found = self.table.get(&key).await?.ok_or_else(missing)?;
+        let head: row::Head = key::decode(&found.key, &found.value)?;
+        self.text(&head.object).await
+    }
+
+    /// Accepts `proposal` if its base is still the newest revision.
+    ///
+    /// Proposing the same document again after a lost answer returns the
+    /// revision that it was accepted as.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` names the winner; `Data` lists the mistakes; after `Platform`
+    /// the document may have been accepted.
+    pub async fn accept(&self, proposal: &Proposal) -> Result<id::Revision> {
+        check(&proposal.environment, &proposal.text)?;
+        let object = format!("document/{}", digest::sha256(&proposal.text));
+        let head = self.head(&proposal.environment).await?;
+        let newest = head.as_ref().map_or(0, |head| head.row.revision);
+        if newest != proposal.base {
+            return settle_race(proposal, &object, head.as_ref());
+        }
+        let text = proposal.text.clone();
+        self.objects.create(&object, text.into()).await?;
+        let transaction = self.transaction(proposal, &object, head.as_ref());
+        let deadline = self.clock.now() + ACCEPT_TIMEOUT;
+        let outcome = commit::settle(&*self.table, &*self.clock, &transaction, deadline).await?;
+        match outcome {
+            Outcome::Committed(_) => Ok(newest + 1),
+            Outcome::Conflict(_) => {
+                let head = self.head(&proposal.environment).await?;
+                settle_race(proposal, &object, head.as_ref())
+            }
+        }
+    }
+
+    fn transaction(&self, proposal: &Proposal, object: &str, head: Option<&Head>) -> Transaction {
+        let environment = &proposal.environment;
+        let revision = proposal.base + 1;
+        let row = key::encode(&row::Head {
+            revision,
+            object: object.to_owned(),
+            actor: proposal.actor.clone(),
+        });
+        let writer = format!("{}/{revision}/{:016x}", proposal.action, random());
+        let transaction = Transaction::new(writer)
+            .require(
+                key::head(environment),
+                head.map_or(ABSENT, |head| head.version),
+            )
+            .put(key::head(environment), row.clone())
+            .put(key::revision(environment, revision), row);
+        let change = audit::Change {
+            actor: proposal.actor.clone(),
+            action: proposal.action.clone(),
+            target: object.to_owned(),
+            from: Some(proposal.base),
+            to: Some(revision),
+        };
+        audit::record(transaction, environment, &*self.clock, change)
+    }
+}
+
+fn random() -> u64 {
+    rand::random()
+}
+
+// The head has moved: either by this very proposal, sent before, or by another.
+fn settle_race(proposal: &Proposal, object: &str, head: Option<&Head>) -> Result<id::Revision> {
+    let Some(head) = head else {
+        return Err(Code::Conflict(0, String::new()).into());
+    };
+    let own = head.row.revision == proposal.base + 1
+        && head.row.object == object
+        && head.row.actor == proposal.actor;
+    if own {
+        return Ok(head.row.revision);
+    }
+    Err(Code::Conflict(head.row.revision, head.row.actor.clone()).into())
+}
+
+fn check(environment: &str, text: &str) -> Result<Document> {
+    let document = document::parse(text)?;
+    if document.environment == environment {
+        return Ok(document);
+    }
+    let expected = environment.to_owned();
+    Err(Code::Environment(document.environment, expected).into())
+}
--- /dev/null
+++ b/crates/control/src/error.rs
@@ -0,0 +1,119 @@
+//! The error of this package.
+
+use std::fmt;
+
+use almondbank_platform as platform;
+use almondbank_wire as wire;
+use quick_error::quick_error;
+
+/// Result with this package's [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A failed decision or change.
+pub struct Error {
+    code: Box<Code>,
+}
+
+/// What the caller can do about a failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Category {
+    /// Something outside the system failed; trying again may help.
+    Platform,
+    /// Somebody else's change came first.
+    Conflict,
+    /// The input has mistakes.
+    Data,
+    /// This instance does not hold the shard's lease.
+    NotKeeper,
+}
+
+quick_error! {
+    #[derive(Debug)]
+    pub enum Code {
+        Platform(source: platform::Error) {
+            source(source)
+            display("{}", source)
+            from()
+        }
+        Wire(source: wire::Error) {
+            source(source)
+            display("{}", source)
+            from()
+        }
+        Row(key: String, source: serde_json::Error) {
+            source(source)
+            display("row {} is malformed: {}", key, source)
+        }
+        Conflict(revision: u64, actor: String) {
+            display("revision {} by {} came first", revision, actor)
+        }
+        Environment(found: String, expected: String) {
+            display("the document is for {}, not {}", found, expected)
+        }
+        Missing(what: String) {
+            display("{} does not exist", what)
+        }
+        LeaseLost {
+            display("the lease was lost")
+        }
+    }
+}
+
+impl Error {
+    /// What can be done about the failure.
+    #[must_use]
+    pub fn category(&self) -> Category {
+        match *self.code {
+            Code::Platform(_) => Category::Platform,
+            Code::Conflict(..) => Category::Conflict,
+            Code::Wire(_) | Code::Row(..) | Code::Environment(..) | Code::Missing(_) => {
+                Category::Data
+            }
+            Code::LeaseLost => Category::NotKeeper,
+        }
+    }
+
+    /// The winning revision, after a conflict.
+    #[must_use]
+    pub fn winner(&self) -> Option<u64> {
+        match *self.code {
+            Code::Conflict(revision, _) => Some(revision),
+            _ => None,
+        }
+    }
+
+    /// The mistakes of a document, each with its path.
+    #[must_use]
+    pub fn findings(&self) -> &[wire::Finding] {
+        match &*self.code {
+            Code::Wire(error) => error.findings(),
+            _ => &[],
+        }
+    }
+}
+
+impl<T: Into<Code>> From<T> for Error {
+    fn from(code: T) -> Self {
+        Self {
+            code: Box::new(code.into()),
+        }
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.code, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.code, f)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        std::error::Error::source(&*self.code)
+    }
+}
--- /dev/null
+++ b/crates/control/src/placement.rs
@@ -0,0 +1,546 @@
+//! Decides which replicas are loaded and unloaded.
+//!
+//! Demand from all instances for one target becomes one decision. Cold targets
+//! are loaded in the order of worth over load time, which minimises the weighted
+//! sum of waiting times on one server (Smith, "Various optimizers for
+//! single-stage production", 1956) and serves as a heuristic for several slots.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use almondbank_wire::document::{self, Document};
+use almondbank_wire::order::Tier;
+use almondbank_wire::rank::Rank;
+use almondbank_wire::{id, row};
+
+use crate::budget;
+use crate::demand::{Demand, Target};
+use crate::idle;
+use crate::observation::Observation;
+
+const RANK_WEIGHTS: [f64; 3] = [100.0, 10.0, 1.0];
+const DISK_SPEEDUP: u32 = 4;
+const MEMORY_SPEEDUP: u32 = 20;
+const WAITING_PER_REPLICA: u64 = 8;
+const RUNNING_PER_SURPLUS: u64 = 4;
+const QUIET_BEFORE_SHRINK: Duration = Duration::from_mins(1);
+const LINGER: Duration = Duration::from_secs(30);
+const OVERDUE_FACTOR: u32 = 3;
+const OVERDUE_SLACK: Duration = Duration::from_secs(5);
+
+/// A replica with a row.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The row.
+    pub row: row::Replica,
+    /// When this keeper decided it or first read it.
+    pub since: Duration,
+    /// Where its checkpoint came from.
+    pub tier: Tier,
+}
+
+impl Placed {
+    /// The model version.
+    #[must_use]
+    pub fn target(&self) -> Target {
+        Target {
+            model: self.row.model.clone(),
+            version: self.row.version.clone(),
+        }
+    }
+
+    /// Memory that counts from the row on, in bytes.
+    #[must_use]
+    pub fn reserved_bytes(&self) -> u64 {
+        self.row.bytes.saturating_add(self.row.pool_bytes)
+    }
+
+    /// Whether the row asks for the replica to be loaded.
+    #[must_use]
+    pub fn is_wanted(&self) -> bool {
+        self.row.goal == row::Goal::Load
+    }
+}
+
+/// How one target was used.
+#[derive(Clone, Debug)]
+pub struct Usage {
+    /// When it was last used.
+    pub last: Duration,
+    /// Gaps between its uses.
+    pub history: idle::History,
+    /// Since when one replica fewer would have done.
+    pub quiet_since: Option<Duration>,
+}
+
+/// All that a round of decisions looks at.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// Time of the round.
+    pub now: Duration,
+    /// Document in force.
+    pub document: &'a Document,
+    /// Replicas with rows.
+    pub replicas: &'a BTreeMap<id::Replica, Placed>,
+    /// Last reports of the runners.
+    pub observations: &'a BTreeMap<id::Runner, Observation>,
+    /// Demand by target.
+    pub demands: &'a BTreeMap<Target, Demand>,
+    /// Use by target.
+    pub usages: &'a BTreeMap<Target, Usage>,
+}
+
+/// One decision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Load a replica.
+    Load(Load),
+    /// Unload this replica.
+    Unload(id::Replica),
+}
+
+/// A replica to be loaded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Model version.
+    pub target: Target,
+    /// Runner that is to hold it.
+    pub runner: id::Runner,
+    /// Memory of the weights, in bytes.
+    pub bytes: u64,
+    /// Memory for adapters, in bytes.
+    pub pool_bytes: u64,
+    /// Where its checkpoint comes from.
+    pub tier: Tier,
+}
+
+/// Time that a load takes from `tier`.
+#[must_use]
+pub fn load_time(model: &document::Model, tier: Tier) -> Duration {
+    match tier {
+        Tier::Remote => model.load_time,
+        Tier::Disk => model.load_time / DISK_SPEEDUP,
+        Tier::Memory => model.load_time / MEMORY_SPEEDUP,
+    }
+}
+
+/// Decides one round.
+#[must_use]
+pub fn plan(view: &View<'_>, budget: &mut budget::Budget) -> Vec<Decision> {
+    budget.refill(view.now);
+    let mut round = Round::new(view);
+    round.unload_unserved();
+    round.unload_overdue();
+    round.shrink();
+    round.load_cold(budget);
+    round.decisions
+}
+
+struct Round<'a> {
+    view: &'a View<'a>,
+    free: BTreeMap<&'a str, u64>,
+    unloading: BTreeSet<id::Replica>,
+    by_target: BTreeMap<Target, Vec<&'a Placed>>,
+    remote_loads: u32,
+    decisions: Vec<Decision>,
+}
+
+struct Candidate {
+    target: Target,
+    worth: f64,
+    may_evict: bool,
+}
+
+impl<'a> Round<'a> {
+    fn new(view: &'a View<'a>) -> Self {
+        let mut reserved: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut by_target: BTreeMap<Target, Vec<&Placed>> = BTreeMap::new();
+        let mut remote_loads = 0;
+        for placed in view.replicas.values() {
+            *reserved.entry(&placed.row.runner).or_default() += placed.reserved_bytes();
+            if !placed.is_wanted() {
+                continue;
+            }
+            if placed.tier == Tier::Remote && is_loading(view, placed) {
+                remote_loads += 1;
+            }
+            by_target.entry(placed.target()).or_default().push(placed);
+        }
+        Self {
+            view,
+            free: free_memory(view, &reserved),
+            unloading: BTreeSet::new(),
+            by_target,
+            remote_loads,
+            decisions: Vec::new(),
+        }
+    }
+
+    fn unload(&mut self, replica: &str) {
+        if self.unloading.insert(replica.to_owned()) {
+            self.decisions.push(Decision::Unload(replica.to_owned()));
+        }
+    }
+
+    // Unloads what the document no longer serves.
+    fn unload_unserved(&mut self) {
+        let unserved: Vec<_> = self
+            .by_target
+            .values()
+            .flatten()
+            .filter(|placed| !self.is_served(placed))
+            .map(|placed| placed.row.replica.clone())
+            .collect();
+        for replica in unserved {
+            self.unload(&replica);
+        }
+    }
+
+    fn is_served(&self, placed: &Placed) -> bool {
+        let document = self.view.document;
+        let model = document.models.get(&placed.row.model);
+        let served = model.is_some_and(|model| model.versions.contains(&placed.row.version));
+        served && document.runners.contains_key(&placed.row.runner)
+    }
+
+    // Cancels loads that take far longer than expected, and ones that the runner
+    // finished without a resident replica; the replacement waits for the
+    // runner's report that the cancelled one is gone.
+    fn unload_overdue(&mut self) {
+        let overdue: Vec<_> = self
+            .by_target
+            .values()
+            .flatten()
+            .filter(|placed| self.is_overdue(placed) || self.has_failed(placed))
+            .map(|placed| placed.row.replica.clone())
+            .collect();
+        for replica in overdue {
+            self.unload(&replica);
+        }
+    }
+
+    fn is_overdue(&self, placed: &Placed) -> bool {
+        let Some(model) = self.view.document.models.get(&placed.row.model) else {
+            return false;
+        };
+        let allowed = load_time(model, placed.tier) * OVERDUE_FACTOR + OVERDUE_SLACK;
+        let elapsed = self.view.now.saturating_sub(placed.since);
+        let reachable = fresh(self.view, &placed.row.runner).is_some();
+        reachable && is_loading(self.view, placed) && elapsed > allowed
+    }
+
+    fn has_failed(&self, placed: &Placed) -> bool {
+        fresh(self.view, &placed.row.runner).is_some_and(|seen| {
+            seen.resident(&placed.row.replica).is_none() && seen.has_finished(&placed.row.order)
+        })
+    }
+
+    // Unloads idle targets past their keep-alive, and replicas beyond the need.
+    fn shrink(&mut self) {
+        let mut surplus = Vec::new();
+        for (target, replicas) in &self.by_target {
+            let ready: Vec<_> = replicas
+                .iter()
+                .filter(|placed| is_ready(self.view, placed))
+                .filter(|placed| !self.unloading.contains(&placed.row.replica))
+                .collect();
+            let max = self.model(target).map_or(0, |model| model.max_replicas);
+            let max = usize::try_from(max).unwrap_or(usize::MAX);
+            let wanted = self.wanted(target, ready.len()).min(max);
+            let extra = ready.len().saturating_sub(wanted);
+            surplus.extend(
+                ready
+                    .iter()
+                    .rev()
+                    .take(extra)
+                    .map(|placed| placed.row.replica.clone()),
+            );
+        }
+        for replica in surplus {
+            self.unload(&replica);
+        }
+    }
+
+    fn wanted(&self, target: &Target, ready: usize) -> usize {
+        let Some(usage) = self.view.usages.get(target) else {
+            return 1;
+        };
+        if !is_idle(self.view, target) {
+            let quiet = usage
+                .quiet_since
+                .is_some_and(|since| self.view.now.saturating_sub(since) > QUIET_BEFORE_SHRINK);
+            return if quiet {
+                ready.saturating_sub(1).max(1)
+            } else {
+                ready.max(1)
+            };
+        }
+        let idle = self.view.now.saturating_sub(usage.last);
+        let window = usage.history.window();
+        let away = !window.prewarm.is_zero() && idle > LINGER && idle < window.prewarm;
+        usize::from(idle < window.keep_alive && !away)
+    }
+
+    fn load_cold(&mut self, budget: &mut budget::Budget) {
+        let mut candidates = self.candidates();
+        candidates.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+        for candidate in candidates {
+            self.load(&candidate, budget);
+        }
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for (target, demand) in self.view.demands {
+            let Some(model) = self.model(target) else {
+                continue;
+            };
+            let held = self.held(target);
+            let room = held < model.max_replicas;
+            let needed = if held == 0 {
+                !demand.is_idle()
+            } else {
+                self.all_ready(target)
+                    && demand.waiting_total() > WAITING_PER_REPLICA * u64::from(held)
+            };
+            if room && needed {
+                let worth = worth(demand) / model.load_time.as_secs_f64().max(0.001);
+                candidates.push(Candidate {
+                    target: target.clone(),
+                    worth,
+                    may_evict: held == 0,
+                });
+            }
+        }
+        candidates.extend(self.prewarm_candidates());
+        candidates
+    }
+
+    fn prewarm_candidates(&self) -> impl Iterator<Item = Candidate> {
+        let due = |(target, usage): &(&Target, &Usage)| {
+            let window = usage.history.window();
+            let idle = self.view.now.saturating_sub(usage.last);
+            let awaited = idle >= window.prewarm && idle < window.keep_alive;
+            !window.prewarm.is_zero()
+                && awaited
+                && is_idle(self.view, target)
+                && self.held(target) == 0
+                && self.model(target).is_some()
+        };
+        self.view
+            .usages
+            .iter()
+            .filter(due)
+            .map(|(target, _)| Candidate {
+                target: target.clone(),
+                worth: 0.0,
+                may_evict: false,
+            })
+    }
+
+    fn model(&self, target: &Target) -> Option<&'a document::Model> {
+        let model = self.view.document.models.get(&target.model)?;
+        model.versions.contains(&target.version).then_some(model)
+    }
+
+    // Replicas that count as decided: those on runners that have fallen silent
+    // no longer help and do not hold a replacement back.
+    fn held(&self, target: &Target) -> u32 {
+        let replicas = self.view.replicas.values().filter(|placed| {
+            placed.row.model == target.model
+                && placed.row.version == target.version
+                && fresh(self.view, &placed.row.runner).is_some()
+        });
+        u32::try_from(replicas.count()).unwrap_or(u32::MAX)
+    }
+
+    fn all_ready(&self, target: &Target) -> bool {
+        self.by_target
+            .get(target)
+            .is_some_and(|replicas| replicas.iter().all(|placed| is_ready(self.view, placed)))
+    }
+
+    fn load(&mut self, candidate: &Candidate, budget: &mut budget::Budget) {
+        let Some(model) = self.model(&candidate.target) else {
+            return;
+        };
+        let needed = model.bytes.saturating_add(model.pool_bytes);
+        let Some((runner, tier)) = self.best_runner(&candidate.target, needed) else {
+            if candidate.may_evict {
+                self.evict(&candidate.target, needed);
+            }
+            return;
+        };
+        if tier == Tier::Remote {
+            if !budget.take(self.remote_loads) {
+                return;
+            }
+            self.remote_loads += 1;
+        }
+        if let Some(free) = self.free.get_mut(runner) {
+            *free -= needed;
+        }
+        self.decisions.push(Decision::Load(Load {
+            target: candidate.target.clone(),
+            runner: runner.to_owned(),
+            bytes: model.bytes,
+            pool_bytes: model.pool_bytes,
+            tier,
+        }));
+    }
+
+    // The nearest checkpoint goes first, then the most free memory.
+    fn best_runner(&self, target: &Target, needed: u64) -> Option<(&'a str, Tier)> {
+        self.free
+            .iter()
+            .filter(|(name, free)| **free >= needed && !self.holds(name, target))
+            .map(|(name, free)| (*name, self.tier(name, target), *free))
+            .min_by_key(|(name, tier, free)| (*tier, Reverse(*free), *name))
+            .map(|(name, tier, _)| (name, tier))
+    }
+
+    fn holds(&self, runner: &str, target: &Target) -> bool {
+        self.view.replicas.values().any(|placed| {
+            placed.row.runner == runner
+                && placed.row.model == target.model
+                && placed.row.version == target.version
+        })
+    }
+
+    fn tier(&self, runner: &str, target: &Target) -> Tier {
+        self.view
+            .observations
+            .get(runner)
+            .map_or(Tier::Remote, |seen| {
+                seen.tier(&target.model, &target.version)
+            })
+    }
+
+    // Unloads idle replicas, least recently used first, on the runner where
+    // the fewest make room. Replicas that are being unloaded already count as room.
+    fn evict(&mut self, target: &Target, needed: u64) {
+        let plans = self.free.iter().filter_map(|(runner, free)| {
+            if self.holds(runner, target) {
+                return None;
+            }
+            let coming = self.coming(runner);
+            let victims = self.victims(runner, needed, free + coming)?;
+            Some((victims.len(), *runner, victims))
+        });
+        let Some((_, _, victims)) = plans.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1))) else {
+            return;
+        };
+        for replica in victims {
+            self.unload(&replica);
+        }
+    }
+
+    fn coming(&self, runner: &str) -> u64 {
+        self.view
+            .replicas
+            .values()
+            .filter(|placed| placed.row.runner == runner)
+            .filter(|placed| !placed.is_wanted() || self.unloading.contains(&placed.row.replica))
+            .map(Placed::reserved_bytes)
+            .sum()
+    }
+
+    fn victims(&self, runner: &str, needed: u64, mut room: u64) -> Option<Vec<id::Replica>> {
+        let mut idle: Vec<_> = self
+            .view
+            .replicas
+            .values()
+            .filter(|placed| placed.row.runner == runner && placed.is_wanted())
+            .filter(|placed| !self.unloading.contains(&placed.row.replica))
+            .filter(|placed| is_ready(self.view, placed) && is_idle(self.view, &placed.target()))
+            .collect();
+        idle.sort_by_key(|placed| {
+            let usage = self.view.usages.get(&placed.target());
+            usage.map_or(Duration::ZERO, |usage| usage.last)
+        });
+        let mut victims = Vec::new();
+        for placed in idle {
+            if room >= needed {
+                break;
+            }
+            room += placed.reserved_bytes();
+            victims.push(placed.row.replica.clone());
+        }
+        (room >= needed).then_some(victims)
+    }
+}
+
+// Memory that neither a row nor the runner's own report takes. The report also
+// covers replicas that have no row, on a runner that came back to the document.
+fn free_memory<'a>(view: &View<'a>, reserved: &BTreeMap<&str, u64>) -> BTreeMap<&'a str, u64> {
+    let mut free = BTreeMap::new();
+    for (name, runner) in &view.document.runners {
+        let Some(seen) = fresh(view, name) else {
+            continue;
+        };
+        let memory = runner.memory_bytes.min(seen.report.memory_bytes);
+        let reserved = reserved.get(name.as_str()).copied().unwrap_or(0);
+        let taken = reserved.max(seen.report.used_bytes);
+        free.insert(name.as_str(), memory.saturating_sub(taken));
+    }
+    free
+}
+
+fn worth(demand: &Demand) -> f64 {
+    let weigh = |(rank, waiting): (&Rank, &crate::demand::Waiting)| {
+        let count = u32::try_from(waiting.count).unwrap_or(u32::MAX);
+        RANK_WEIGHTS[rank.index()] * f64::from(count)
+    };
+    demand.waiting.iter().map(weigh).sum()
+}
+
+fn is_idle(view: &View<'_>, target: &Target) -> bool {
+    view.demands.get(target).is_none_or(Demand::is_idle)
+}
+
+fn fresh<'a>(view: &View<'a>, runner: &str) -> Option<&'a Observation> {
+    view.observations
+        .get(runner)
+        .filter(|seen| seen.is_fresh(view.now) && !seen.report.leaving)
+}
+
+fn is_ready(view: &View<'_>, placed: &Placed) -> bool {
+    fresh(view, &placed.row.runner).is_some_and(|seen| seen.is_ready(&placed.row.replica))
+}
+
+fn is_loading(view: &View<'_>, placed: &Placed) -> bool {
+    !is_ready(view, placed)
+}
+
+/// Brings the use of each target up to date with one round's demand.
+pub fn note_use(
+    usages: &mut BTreeMap<Target, Usage>,
+    demands: &BTreeMap<Target, Demand>,
+    replicas_ready: impl Fn(&Target) -> u64,
+    now: Duration,
+) {
+    for (target, demand) in demands {
+        if demand.is_idle() {
+            continue;
+        }
+        let usage = usages.entry(target.clone()).or_insert_with(|| Usage {
+            last: now,
+            history: idle::History::default(),
+            quiet_since: None,
+        });
+        let gap = now.saturating_sub(usage.last);
+        if demand.arrivals > 0 && gap > LINGER {
+            usage.history.record(gap);
+        }
+        usage.last = now;
+        let ready = replicas_ready(target);
+        let load = demand.running + demand.waiting_total();
+        let quiet = ready > 1 && load <= RUNNING_PER_SURPLUS * (ready - 1);
+        usage.quiet_since = if quiet {
+            usage.quiet_since.or(Some(now))
+        } else {
+            None
+        };
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/call.rs
@@ -0,0 +1,208 @@
+//! Runs calls of plain services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_platform::{Category, Error};
+use almondbank_serving::ledger::{Answer, Begin, Outcome};
+use almondbank_wire::problem::{Code, Problem, Run};
+use almondbank_wire::{digest, peer};
+use http_body_util::Full;
+use hyper::{Request, header};
+
+use crate::node::Node;
+
+const MAX_ATTEMPTS: usize = 3;
+/// Time that a call may go on after its caller has been answered.
+const RUN_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// One call of a plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) caller: String,
+    pub(crate) service: String,
+    pub(crate) method: String,
+    pub(crate) key: String,
+    pub(crate) body: String,
+}
+
+impl Call {
+    /// Name of the key among those of all callers and calls.
+    pub(crate) fn scope(&self) -> String {
+        format!(
+            "{}/{}/{}/{}",
+            self.caller, self.service, self.method, self.key
+        )
+    }
+
+    pub(crate) fn digest(&self) -> String {
+        digest::sha256(&self.body)
+    }
+}
+
+/// Runs a call that may be repeated, on one back end after another.
+pub(crate) async fn repeat(node: &Node, call: &Call, deadline: Duration) -> Outcome {
+    node.retries.deposit();
+    let mut last = unreachable();
+    for (attempt, address) in addresses(node, call)
+        .into_iter()
+        .cycle()
+        .take(MAX_ATTEMPTS)
+        .enumerate()
+    {
+        if attempt > 0 && !node.retries.withdraw() {
+            break;
+        }
+        let wait = deadline.saturating_sub(node.clock.now());
+        if wait.is_zero() {
+            break;
+        }
+        match send(node, call, address, wait).await {
+            Ok(answer) => return Outcome::Answer(answer),
+            Err(error) => last = failure(&error),
+        }
+    }
+    Outcome::Failed(last)
+}
+
+/// Runs a call that may not be repeated under a ticket of this incarnation.
+pub(crate) async fn run_once(
+    node: &Arc<Node>,
+    call: Call,
+    issued: Duration,
+    deadline: Duration,
+) -> Outcome {
+    let begun = node
+        .ledger
+        .begin(&call.scope(), &call.digest(), issued, node.age());
+    let waiter = match begun {
+        Begin::Refused(problem) => return Outcome::Failed(problem),
+        Begin::Wait(waiter) => waiter,
+        Begin::Run(guard) => {
+            let waiter = guard.waiter();
+            let runner = Arc::clone(node);
+            node.calls.spawn(async move {
+                let outcome = run(&runner, &call, deadline).await;
+                guard.finish(outcome);
+            });
+            waiter
+        }
+    };
+    let wait = deadline.saturating_sub(node.clock.now());
+    tokio::select! {
+        outcome = waiter.outcome() => outcome,
+        () = node.clock.sleep(wait) => Outcome::Failed(Problem::unknown(
+            Code::Deadline,
+            "the service has not answered yet; ask again with the same key",
+        )),
+    }
+}
+
+/// Runs a call that another instance forwarded.
+pub(crate) async fn serve_forwarded(
+    node: &Arc<Node>,
+    request: peer::CallRequest,
+) -> peer::CallReply {
+    let id = request.id;
+    let outcome = if request.incarnation == node.incarnation {
+        let deadline = node.clock.now() + Duration::from_millis(request.budget_ms);
+        let issued = Duration::from_millis(request.issued_ms);
+        let call = Call {
+            caller: request.caller,
+            service: request.service,
+            method: request.call,
+            key: request.key,
+            body: request.body,
+        };
+        run_once(node, call, issued, deadline).await
+    } else {
+        Outcome::Failed(Problem::unknown(
+            Code::HolderUnreachable,
+            "the instance that issued the ticket is gone",
+        ))
+    };
+    reply(id, outcome)
+}
+
+fn reply(id: u64, outcome: Outcome) -> peer::CallReply {
+    match outcome {
+        Outcome::Answer(answer) => peer::CallReply {
+            id,
+            status: answer.status,
+            body: answer.body,
+            run: Run::Ran,
+            code: String::new(),
+        },
+        Outcome::Failed(problem) => peer::CallReply {
+            id,
+            status: problem.code.status(),
+            body: problem.detail,
+            run: problem.run,
+            code: problem.code.to_string(),
+        },
+    }
+}
+
+/// Sends a call once. A back end that could not be connected to is passed over,
+/// since no byte of the call has left; after that nothing is tried again.
+pub(crate) async fn run(node: &Node, call: &Call, deadline: Duration) -> Outcome {
+    let mut last = unreachable();
+    for address in addresses(node, call) {
+        if node.clock.now() >= deadline {
+            return Outcome::Failed(Problem::not_run(Code::Deadline, "the deadline has passed"));
+        }
+        match send(node, call, address, RUN_TIMEOUT).await {
+            Ok(answer) => return Outcome::Answer(answer),
+            Err(error) => {
+                last = failure(&error);
+                if error.category() != Category::NotSent {
+                    break;
+                }
+            }
+        }
+    }
+    Outcome::Failed(last)
+}
+
+fn addresses(node: &Node, call: &Call) -> Vec<SocketAddr> {
+    let edition = node.catalog.current();
+    let service = edition.document.services.get(&call.service);
+    let mut addresses = service.map_or_else(Vec::new, |service| service.addresses.clone());
+    if !addresses.is_empty() {
+        let start = rand::random::<u32>() as usize % addresses.len();
+        addresses.rotate_left(start);
+    }
+    addresses
+}
+
+// Uses a connection of its own: one that has gone silent would leave the
+// outcome unknown.
+async fn send(
+    node: &Node,
+    call: &Call,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<Answer, Error> {
+    let request = Request::post(format!("http://{address}/{}/{}", call.service, call.method))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("idempotency-key", &call.key)
+        .header("x-caller", &call.caller)
+        .body(Full::from(call.body.clone()))
+        .map_err(|_| Error::not_sent())?;
+    let answer = node.fresh_http.call(request, timeout).await?;
+    let status = answer.status().as_u16();
+    let body = String::from_utf8_lossy(answer.body()).into_owned();
+    Ok(Answer { status, body })
+}
+
+fn failure(error: &Error) -> Problem {
+    match error.category() {
+        Category::NotSent => unreachable(),
+        _ => Problem::unknown(Code::BackendLost, error.to_string()),
+    }
+}
+
+fn unreachable() -> Problem {
+    Problem::not_run(Code::Unreachable, "no back end could be reached")
+}
--- /dev/null
+++ b/crates/daemon/src/claim.rs
@@ -0,0 +1,120 @@
+//! Calls that may not be repeated and whose key was made without a ticket.
+//!
+//! A row of the table claims the key for one incarnation before the call, and
+//! keeps the answer after it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_control::key;
+use almondbank_platform::commit;
+use almondbank_platform::table::{ABSENT, Outcome as Commit, Row, Transaction};
+use almondbank_serving::ledger::{Answer, Outcome};
+use almondbank_wire::problem::{Code, Problem, Run};
+use almondbank_wire::{digest, row};
+
+use crate::call::{self, Call};
+use crate::node::Node;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+const RECORD_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Claims the key of `call` and runs it, or finds what became of it.
+pub(crate) async fn run(node: &Arc<Node>, call: Call, deadline: Duration) -> Outcome {
+    let key = key::claim(node.environment(), &digest::sha256(call.scope()));
+    let claimed_ms = u64::try_from(node.age().as_millis()).unwrap_or(u64::MAX);
+    let claim = row::Claim {
+        incarnation: node.incarnation.clone(),
+        body_sha256: call.digest(),
+        claimed_ms,
+        answer: None,
+    };
+    let writer = format!("{}/claim/{:016x}", node.incarnation, rand::random::<u64>());
+    let transaction = Transaction::new(writer)
+        .require(&key, ABSENT)
+        .put(&key, key::encode(&claim));
+    let claimed = commit::settle(&*node.table, &*node.clock, &transaction, deadline).await;
+    match claimed {
+        Ok(Commit::Committed(version)) => {
+            execute(node, call, &key, version, &claim, deadline).await
+        }
+        Ok(Commit::Conflict(_)) => find(node, call, &key, deadline).await,
+        Err(_) => Outcome::Failed(Problem::not_run(
+            Code::TableDown,
+            "the key could not be claimed; a ticket from /v1/entries needs no claim",
+        )),
+    }
+}
+
+async fn execute(
+    node: &Arc<Node>,
+    call: Call,
+    key: &str,
+    version: u64,
+    claim: &row::Claim,
+    deadline: Duration,
+) -> Outcome {
+    let claimed = Duration::from_millis(claim.claimed_ms);
+    let outcome = call::run_once(node, call, claimed, deadline).await;
+    let record = Transaction::new(format!("{}/answer/{key}", node.incarnation));
+    let record = match &outcome {
+        Outcome::Answer(answer) => {
+            let mut claim = claim.clone();
+            claim.answer = Some(row::Answer {
+                status: answer.status,
+                body: answer.body.clone(),
+            });
+            record.require(key, version).put(key, key::encode(&claim))
+        }
+        Outcome::Failed(problem) if problem.run == Run::NotRun => {
+            record.require(key, version).delete(key)
+        }
+        Outcome::Failed(_) => return outcome,
+    };
+    let recorder = Arc::clone(node);
+    node.calls.spawn(async move {
+        let until = recorder.clock.now() + RECORD_TIMEOUT;
+        let _ = commit::settle(&*recorder.table, &*recorder.clock, &record, until).await;
+    });
+    outcome
+}
+
+// The key was claimed before: by this incarnation, which remembers it, or by
+// another, whose answer may still come into the row.
+async fn find(node: &Arc<Node>, call: Call, key: &str, deadline: Duration) -> Outcome {
+    loop {
+        if let Ok(Some(found)) = node.table.get(key).await
+            && let Some(outcome) = read(node, &call, &found, deadline).await
+        {
+            return outcome;
+        }
+        if node.clock.now() + POLL_INTERVAL >= deadline {
+            return Outcome::Failed(Problem::unknown(
+                Code::HolderUnreachable,
+                "the key was claimed by a call whose outcome is not known",
+            ));
+        }
+        node.clock.sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn read(node: &Arc<Node>, call: &Call, found: &Row, deadline: Duration) -> Option<Outcome> {
+    let claim: row::Claim = key::decode(&found.key, &found.value).ok()?;
+    if claim.body_sha256 != call.digest() {
+        return Some(Outcome::Failed(Problem::not_run(
+            Code::KeyReused,
+            "the key was used with another body",
+        )));
+    }
+    if let Some(answer) = claim.answer {
+        return Some(Outcome::Answer(Answer {
+            status: answer.status,
+            body: answer.body,
+        }));
+    }
+    if claim.incarnation != node.incarnation {
+        return None;
+    }
+    let call = call.clone();
+    Some(execute(node, call, &found.key, found.version, &claim, deadline).await)
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,197 @@
+//! One running instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use almondbank_control::catalog::{Catalog, Registry};
+use almondbank_control::membership::{self, Members};
+use almondbank_platform::clock::Clock;
+use almondbank_platform::objects::Objects;
+use almondbank_platform::table::Table;
+use almondbank_platform::{http, objects_http, retry, roster_http, runner_http, table_http};
+use almondbank_serving::admission::{Gate, Limits};
+use almondbank_serving::ledger::Ledger;
+use almondbank_wire::settings::Settings;
+use parking_lot::Mutex;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::error::Code;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::{Result, document_task, keeper_task, listener, member_task, server};
+
+const MAX_QUEUE_BYTES: usize = 48 << 20;
+const MAX_KEYS: usize = 1 << 20;
+const RETRY_BURST: u32 = 100;
+/// Time for which a leaving instance goes on serving, so that callers who keep
+/// an older list of entries find another one.
+const LEAVING_TIME: Duration = Duration::from_secs(4);
+const MAX_HANDOVER: Duration = Duration::from_secs(5);
+
+/// One running instance.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    server: ServerHandle,
+    serving: JoinHandle<()>,
+    keeper: JoinHandle<()>,
+}
+
+impl Daemon {
+    /// Binds the addresses in `settings` and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> Result<Self> {
+        let callers = bind(settings.callers_listen).await?;
+        let peers = bind(settings.peers_listen).await?;
+        let addresses = Addresses {
+            callers: local(&callers, settings.callers_listen)?,
+            peers: local(&peers, settings.peers_listen)?,
+        };
+        let node = Arc::new(node(settings, clock, addresses)?);
+        let acceptor =
+            TcpAcceptor::try_from(callers).map_err(|error| Code::Bind(addresses.callers, error))?;
+        let http = server::new(&node, acceptor);
+        let handle = http.handle();
+        let service = server::service(&node);
+        let serving = tokio::spawn(async move { http.serve(service).await });
+        tokio::spawn(listener::run(Arc::clone(&node), peers));
+        tokio::spawn(document_task::run(Arc::clone(&node)));
+        tokio::spawn(document_task::follow(Arc::clone(&node)));
+        tokio::spawn(member_task::run(Arc::clone(&node)));
+        tokio::spawn(member_task::follow_roster(Arc::clone(&node)));
+        tokio::spawn(member_task::publish_usage(Arc::clone(&node)));
+        let keeper = tokio::spawn(keeper_task::run(Arc::clone(&node)));
+        Ok(Self {
+            node,
+            server: handle,
+            serving,
+            keeper,
+        })
+    }
+
+    /// Address for callers and operators.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.node.callers
+    }
+
+    /// Address for other instances.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.node.peers
+    }
+
+    /// Completes when the instance begins to leave, for whatever reason.
+    pub async fn leaving(&self) {
+        self.node.leaving.cancelled().await;
+    }
+
+    /// Leaves without cutting a request in progress.
+    ///
+    /// Hands the lease over, sends callers elsewhere, waits until all requests
+    /// and calls have ended or the drain time of the settings is over, and ends
+    /// all tasks.
+    pub async fn shutdown(self) {
+        let node = self.node;
+        node.leave();
+        let handover = async {
+            let _ = self.keeper.await;
+        };
+        tokio::select! {
+            () = handover => {}
+            () = node.clock.sleep(MAX_HANDOVER) => log::warn!("lease not handed over in time"),
+        }
+        let left_for = node.left_for().unwrap_or_default();
+        node.clock
+            .sleep(LEAVING_TIME.saturating_sub(left_for))
+            .await;
+        self.server.stop_graceful(Some(node.settings.drain));
+        let _ = self.serving.await;
+        node.calls.close();
+        tokio::select! {
+            () = node.calls.wait() => {}
+            () = node.clock.sleep(node.settings.drain) => log::warn!("calls still running"),
+        }
+        node.stopped.cancel();
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| Code::Bind(address, error))?;
+    Ok(listener)
+}
+
+fn local(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr> {
+    let address = listener
+        .local_addr()
+        .map_err(|error| Code::Bind(asked, error))?;
+    Ok(address)
+}
+
+fn node(settings: Settings, clock: Arc<dyn Clock>, addresses: Addresses) -> Result<Node> {
+    let http = http::Client::new();
+    let table: Arc<dyn Table> = Arc::new(table_http::Client::new(settings.table, http.clone()));
+    let objects: Arc<dyn Objects> =
+        Arc::new(objects_http::Client::new(settings.objects, http.clone()));
+    let registry = Registry {
+        table: Arc::clone(&table),
+        objects,
+        clock: Arc::clone(&clock),
+    };
+    let limits = Limits {
+        requests: settings.max_queue,
+        bytes: MAX_QUEUE_BYTES,
+    };
+    Ok(Node {
+        incarnation: membership::incarnation(&settings.instance),
+        started: clock.now(),
+        callers: addresses.callers,
+        peers: addresses.peers,
+        table,
+        registry,
+        roster: Arc::new(roster_http::Client::new(settings.roster, http.clone())),
+        runners: Arc::new(runner_http::Client::new(http.clone())),
+        http,
+        fresh_http: http::Client::unpooled(),
+        catalog: Catalog::new(settings.environment.clone()),
+        members: Members::default(),
+        gate: Arc::new(Gate::new(Arc::clone(&clock), limits)),
+        ledger: Ledger::new(settings.key_ttl, MAX_KEYS),
+        links: Links::default(),
+        metrics: Metrics::new()?,
+        retries: retry::Budget::new(RETRY_BURST),
+        usage: watch::Sender::default(),
+        cold: Notify::new(),
+        joined: Notify::new(),
+        work: Notify::new(),
+        tenure: Mutex::default(),
+        stepped_down: AtomicU64::new(0),
+        ready: watch::Sender::new(false),
+        leaving: CancellationToken::new(),
+        left_at: Mutex::default(),
+        stopped: CancellationToken::new(),
+        calls: TaskTracker::new(),
+        clock,
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/intake.rs
@@ -0,0 +1,104 @@
+//! What every caller's request goes through first.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_control::catalog::Edition;
+use almondbank_wire::digest;
+use almondbank_wire::document::Caller;
+use almondbank_wire::problem::{Code, Problem};
+use almondbank_wire::rank::Rank;
+use bytes::Bytes;
+use salvo::http::{ParseError, Request, header};
+
+use crate::node::Node;
+
+/// Header with the time to the first token, in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
+const BEARER: &str = "Bearer ";
+/// Time for which a leaving instance still takes requests of callers that have
+/// not asked for other entries yet.
+const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// The document in force, unless this instance cannot serve.
+pub(crate) fn edition(node: &Node) -> Result<Arc<Edition>, Problem> {
+    let edition = node.catalog.current();
+    if !*node.ready.borrow() || edition.revision == 0 {
+        return Err(Problem::not_run(
+            Code::NoDocument,
+            "no document is in force yet",
+        ));
+    }
+    let left_for = node.left_for();
+    if left_for.is_some_and(|left_for| left_for >= LEAVING_GRACE) {
+        return Err(Problem::not_run(
+            Code::Leaving,
+            "this instance is shutting down",
+        ));
+    }
+    Ok(edition)
+}
+
+/// The caller whose key the request bears.
+pub(crate) fn caller<'a>(edition: &'a Edition, request: &Request) -> Result<&'a Caller, Problem> {
+    let key = bearer_digest(request);
+    key.and_then(|key| edition.document.callers.get(&key))
+        .ok_or_else(|| Problem::not_run(Code::UnknownKey, "the bearer key is not known"))
+}
+
+/// Name of the operator whose key the request bears.
+pub(crate) fn operator<'a>(node: &'a Node, request: &Request) -> Result<&'a str, Problem> {
+    let key = bearer_digest(request);
+    key.and_then(|key| node.settings.operators.get(&key))
+        .map(String::as_str)
+        .ok_or_else(|| Problem::not_run(Code::UnknownKey, "the operator key is not known"))
+}
+
+/// Time by which the work must start: the header's, or the rank's default.
+pub(crate) fn deadline(
+    node: &Node,
+    edition: &Edition,
+    request: &Request,
+    rank: Rank,
+) -> Result<Duration, Problem> {
+    let now = node.clock.now();
+    let Some(value) = request.headers().get(DEADLINE_HEADER) else {
+        return Ok(now + edition.document.target(rank).deadline);
+    };
+    let budget = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis)
+        .filter(|budget| !budget.is_zero() && *budget <= MAX_DEADLINE);
+    match budget {
+        Some(budget) => Ok(now + budget),
+        None => Err(bad_request(
+            "header x-deadline-ms: not a number from 1 to 3600000",
+        )),
+    }
+}
+
+/// The request's body, if it is not too long.
+pub(crate) async fn body(node: &Node, request: &mut Request) -> Result<Bytes, Problem> {
+    let limit = node.settings.max_body_bytes;
+    match request.payload_with_max_size(limit).await {
+        Ok(body) => Ok(body.clone()),
+        Err(ParseError::PayloadTooLarge) => Err(Problem::not_run(
+            Code::BodyTooLarge,
+            format!("the body is longer than {limit} bytes"),
+        )),
+        Err(error) => Err(bad_request(format!("body: {error}"))),
+    }
+}
+
+pub(crate) fn bad_request(detail: impl Into<String>) -> Problem {
+    Problem::not_run(Code::BadRequest, detail)
+}
+
+fn bearer_digest(request: &Request) -> Option<String> {
+    let value = request.headers().get(header::AUTHORIZATION)?;
+    let key = value.to_str().ok()?.strip_prefix(BEARER)?;
+    Some(digest::sha256(key))
+}
--- /dev/null
+++ b/crates/daemon/src/keeper_task.rs
@@ -0,0 +1,315 @@
+//! The task that contends for the shard's lease and keeps the shard under it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use almondbank_control::demand::{self, Demand, Target};
+use almondbank_control::keeper::{Dispatch, Input, Keeper, Weights};
+use almondbank_control::lease::{Contender, Identity, Lease};
+use almondbank_control::membership::Member;
+use almondbank_control::{Category, Result, credit};
+use almondbank_wire::order::{Action, Order};
+use almondbank_wire::{id, peer, row};
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+
+use crate::node::Node;
+use crate::tenure::Tenure;
+use crate::{adapter_task, runner_task};
+
+const MIN_STEP: Duration = Duration::from_millis(10);
+const MAX_STEP: Duration = Duration::from_millis(200);
+const ROUTES_INTERVAL: Duration = Duration::from_secs(1);
+const POLL_DIVISOR: u32 = 6;
+const JITTER_PERCENT: u32 = 20;
+const ASK_QUEUE: usize = 1024;
+
+/// Contends for the lease and keeps the shard while holding it.
+pub(crate) async fn run(node: Arc<Node>) {
+    let identity = Identity {
+        environment: node.environment().to_owned(),
+        incarnation: node.incarnation.clone(),
+        address: node.peers.to_string(),
+        term: node.settings.lease,
+    };
+    let table = Arc::clone(&node.table);
+    let mut contender = Contender::new(identity, table, Arc::clone(&node.clock));
+    while !node.is_leaving() {
+        if *node.ready.borrow() {
+            match contender.poll().await {
+                Ok(Some(lease)) => keep(&node, lease).await,
+                Ok(None) => {}
+                Err(error) => log::debug!("lease not read: {error}"),
+            }
+        }
+        let interval = node.settings.lease / POLL_DIVISOR;
+        let jitter = interval.mul_f64(rand::random::<f64>()) * JITTER_PERCENT / 100;
+        tokio::select! {
+            () = node.clock.sleep(interval + jitter) => {}
+            () = node.leaving.cancelled() => {}
+        }
+    }
+}
+
+async fn keep(node: &Arc<Node>, lease: Lease) {
+    let fencing = lease.fencing();
+    log::info!("took the lease with fencing number {fencing}");
+    let (asks, ask_queue) = mpsc::channel(ASK_QUEUE);
+    let tenure = Arc::new(Tenure::new(
+        fencing,
+        Arc::clone(&node.clock),
+        Arc::clone(&node.runners),
+        asks,
+    ));
+    tenure.extend(lease.valid_until());
+    *node.tenure.lock() = Some(Arc::clone(&tenure));
+    let tasks = TaskTracker::new();
+    let ended = tokio::select! {
+        ended = steps(node, lease, &tenure, &tasks) => ended,
+        () = adapter_task::run(node, &tenure, ask_queue, &tasks) => Ok(None),
+        () = runner_task::run(node, &tenure) => Ok(None),
+    };
+    tenure.end();
+    *node.tenure.lock() = None;
+    // Every order that was sent has ended before the number counts as unused.
+    tasks.close();
+    tasks.wait().await;
+    match ended {
+        Ok(Some(keeper)) => match keeper.release().await {
+            Ok(()) => log::info!("released the lease"),
+            Err(error) => log::warn!("lease not released: {error}"),
+        },
+        Ok(None) => {}
+        Err(error) => log::warn!("lost the lease: {error}"),
+    }
+    node.stepped_down.store(fencing, Ordering::Release);
+}
+
+// Returns the keeper if the instance is to leave, so that it can hand over.
+async fn steps(
+    node: &Arc<Node>,
+    lease: Lease,
+    tenure: &Arc<Tenure>,
+    tasks: &TaskTracker,
+) -> Result<Option<Keeper>> {
+    raise_fences(node, tenure, tasks);
+    let weights = Weights {
+        slots: node.settings.weight_slots,
+        per_second: node.settings.weight_per_second,
+    };
+    let clock = Arc::clone(&node.clock);
+    let mut keeper = Keeper::open(node.environment(), lease, &*node.table, clock, weights).await?;
+    let mut announcer = Announcer::default();
+    loop {
+        step(node, &mut keeper, tenure, tasks).await?;
+        announcer.announce(node, &keeper, tenure);
+        node.clock.sleep(MIN_STEP).await;
+        tokio::select! {
+            () = node.work.notified() => {}
+            () = node.clock.sleep(MAX_STEP) => {}
+            () = node.leaving.cancelled() => return Ok(Some(keeper)),
+        }
+    }
+}
+
+async fn step(
+    node: &Arc<Node>,
+    keeper: &mut Keeper,
+    tenure: &Arc<Tenure>,
+    tasks: &TaskTracker,
+) -> Result<()> {
+    let now = node.clock.now();
+    let edition = node.catalog.current();
+    let observations = tenure.observations.lock().clone();
+    let demands = demands(node, now);
+    let is_gone = |former: &row::Former| {
+        former.incarnation == node.incarnation
+            || node
+                .members
+                .is_gone(&former.incarnation, former.fencing, now)
+    };
+    let input = Input {
+        document: &edition.document,
+        observations: &observations,
+        demands: &demands,
+        is_gone: &is_gone,
+    };
+    let stepped = keeper.step(&input).await;
+    let dispatches = match stepped {
+        Ok(dispatches) => dispatches,
+        Err(error) if error.category() == Category::NotKeeper => {
+            tenure.end();
+            return Err(error);
+        }
+        Err(error) => return Err(error),
+    };
+    tenure.extend(keeper.lease().valid_until());
+    publish(node, keeper, tenure);
+    for dispatch in dispatches {
+        send(node, tenure, tasks, dispatch);
+    }
+    Ok(())
+}
+
+// Lets the adapter task see the rows and which runners are exposed to a former
+// keeper's last order.
+fn publish(node: &Node, keeper: &Keeper, tenure: &Tenure) {
+    let rows = keeper
+        .replicas()
+        .iter()
+        .map(|(replica, placed)| (replica.clone(), placed.row.clone()))
+        .collect();
+    *tenure.replicas.lock() = rows;
+    let edition = node.catalog.current();
+    let exposed = edition
+        .document
+        .runners
+        .iter()
+        .filter(|(_, runner)| !runner.checks_fencing && keeper.lease().has_former_since(0))
+        .map(|(name, _)| name.clone())
+        .collect();
+    *tenure.exposed.lock() = exposed;
+}
+
+fn send(node: &Arc<Node>, tenure: &Arc<Tenure>, tasks: &TaskTracker, dispatch: Dispatch) {
+    let node = Arc::clone(node);
+    let tenure = Arc::clone(tenure);
+    tasks.spawn(async move {
+        node.metrics.order(&dispatch.order.action.to_string());
+        runner_task::expect_change(&tenure, &dispatch.runner);
+        let sent = tenure.send(dispatch.address, &dispatch.order).await;
+        if let Err(error) = sent {
+            log::debug!("order {} failed: {error}", dispatch.order.order);
+        }
+    });
+}
+
+// Makes the runners that check fencing numbers refuse former keepers at once.
+fn raise_fences(node: &Arc<Node>, tenure: &Arc<Tenure>, tasks: &TaskTracker) {
+    let edition = node.catalog.current();
+    for (name, runner) in &edition.document.runners {
+        if !runner.checks_fencing {
+            continue;
+        }
+        let order = Order {
+            order: tenure.next_order("fence"),
+            fencing: tenure.fencing(),
+            action: Action::Fence,
+            replica: String::new(),
+            model: String::new(),
+            version: String::new(),
+            bytes: 0,
+            pool_bytes: 0,
+            adapter: None,
+        };
+        let dispatch = Dispatch {
+            runner: name.clone(),
+            address: runner.address,
+            order,
+        };
+        send(node, tenure, tasks, dispatch);
+    }
+}
+
+fn demands(node: &Node, now: Duration) -> BTreeMap<Target, Demand> {
+    let own = Arc::clone(&node.usage.borrow());
+    let live = node.members.live(now);
+    let others = live
+        .values()
+        .filter_map(|member| member.heartbeat.as_ref())
+        .flat_map(|heartbeat| heartbeat.usage.iter());
+    demand::sum(own.iter().chain(others))
+}
+
+/// Sends routes and credits to all instances when they change, and at an interval.
+#[derive(Debug, Default)]
+struct Announcer {
+    sequence: u64,
+    last: Vec<peer::Route>,
+    recipients: Vec<id::Instance>,
+    sent: Option<Duration>,
+}
+
+impl Announcer {
+    fn announce(&mut self, node: &Arc<Node>, keeper: &Keeper, tenure: &Tenure) {
+        let now = node.clock.now();
+        let edition = node.catalog.current();
+        let observations = tenure.observations.lock().clone();
+        let routes = keeper.routes(&edition.document, &observations);
+        let live = node.members.live(now);
+        let recipients: Vec<_> = live.keys().cloned().collect();
+        let due = self
+            .sent
+            .is_none_or(|sent| now.saturating_sub(sent) >= ROUTES_INTERVAL);
+        let changed = !same_routes(&routes, &self.last) || recipients != self.recipients;
+        if !due && !changed {
+            return;
+        }
+        self.sequence += 1;
+        self.sent = Some(now);
+        let credits = credits(node, &live);
+        for (instance, credits) in credits {
+            let message = peer::Routes {
+                fencing: keeper.lease().fencing(),
+                sequence: self.sequence,
+                replicas: routes.clone(),
+                credits,
+            };
+            if instance == node.settings.instance {
+                node.gate.update(message);
+            } else if let Some(link) = node.links.get(&instance) {
+                link.offer(peer::Message::Routes(message));
+            }
+        }
+        self.last = routes;
+        self.recipients = recipients;
+    }
+}
+
+// The estimate of a load's end shrinks all the time and is no change.
+fn same_routes(a: &[peer::Route], b: &[peer::Route]) -> bool {
+    a.len() == b.len()
+        && a.iter()
+            .zip(b)
+            .all(|(a, b)| a.replica == b.replica && a.ready == b.ready && a.adapters == b.adapters)
+}
+
+fn credits(
+    node: &Node,
+    live: &BTreeMap<id::Instance, Member>,
+) -> BTreeMap<id::Instance, Vec<peer::Credit>> {
+    let mut demand = BTreeMap::new();
+    let own = load(&node.usage.borrow());
+    demand.insert(node.settings.instance.clone(), own);
+    for (instance, member) in live {
+        let heartbeat = member.heartbeat.as_ref();
+        let weight = heartbeat.map_or(0, |heartbeat| load(&heartbeat.usage));
+        demand.insert(instance.clone(), weight);
+    }
+    let mut credits: BTreeMap<_, Vec<_>> = demand
+        .keys()
+        .map(|instance| (instance.clone(), Vec::new()))
+        .collect();
+    for (name, runner) in &node.catalog.current().document.runners {
+        for (instance, slots) in credit::split(runner.slots, &demand) {
+            let credit = peer::Credit {
+                runner: name.clone(),
+                slots,
+            };
+            credits.entry(instance).or_default().push(credit);
+        }
+    }
+    credits
+}
+
+fn load(usage: &[peer::Usage]) -> u64 {
+    usage
+        .iter()
+        .map(|usage| {
+            let waiting: u64 = usage.waiting.iter().map(|waiting| waiting.count).sum();
+            usage.running + waiting
+        })
+        .sum()
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,48 @@
+//! The almondbank daemon: one role, run on each entry VM.
+//!
+//! [`Daemon::start`] runs an instance inside the calling process; the binary
+//! does nothing else after it has read its settings.
+//!
+//! ```no_run
+//! # async fn run(text: &str) -> Result<(), Box<dyn std::error::Error>> {
+//! use std::sync::Arc;
+//! use almondbank_platform::clock;
+//! use almondbank_wire::settings;
+//!
+//! let settings = settings::parse(text)?;
+//! let daemon = almondbank::Daemon::start(settings, Arc::new(clock::System::new())).await?;
+//! println!("callers connect to {}", daemon.callers());
+//! daemon.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod adapter_task;
+mod call;
+mod chat;
+mod claim;
+mod daemon;
+mod document_task;
+mod entries;
+mod error;
+mod forward;
+mod intake;
+mod keeper_task;
+mod link;
+mod links;
+mod listener;
+mod member_task;
+mod metrics;
+mod models;
+mod node;
+mod operator;
+mod reply;
+mod runner_task;
+mod scrape;
+mod server;
+mod service;
+mod socket;
+mod tenure;
+
+pub use daemon::Daemon;
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/daemon/src/listener.rs
@@ -0,0 +1,216 @@
+//! The side of the peer connections that accepts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_wire::{digest, peer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time;
+use tokio_tungstenite::accept_async_with_config;
+
+use crate::error::Code;
+use crate::node::Node;
+use crate::socket::{self, Reader, Writer};
+use crate::tenure::Ask;
+use crate::{Result, call};
+
+const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
+const SILENCE: Duration = Duration::from_secs(3);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const MAX_CONNECTIONS: usize = 512;
+const REPLY_QUEUE: usize = 256;
+
+/// Accepts connections of other instances until `node` stops.
+pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            () = node.stopped.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((tcp, _)) = accepted else {
+            node.clock.sleep(HEARTBEAT_INTERVAL).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let node = Arc::clone(&node);
+        tokio::spawn(async move {
+            if let Err(error) = serve(&node, tcp).await {
+                log::debug!("peer connection ended: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// This instance's greeting.
+pub(crate) fn hello(node: &Node, proof: String) -> peer::Hello {
+    peer::Hello {
+        instance: node.settings.instance.clone(),
+        incarnation: node.incarnation.clone(),
+        peers: node.peers.to_string(),
+        callers: node.callers.to_string(),
+        data_centre: node.settings.data_centre.clone(),
+        proof,
+    }
+}
+
+/// The text that the accepting side proves the secret over.
+pub(crate) fn reverse_nonce(nonce: &str) -> String {
+    format!("accept {nonce}")
+}
+
+async fn serve(node: &Arc<Node>, tcp: TcpStream) -> Result<()> {
+    let (mut writer, reader, hello) = time::timeout(GREETING_TIMEOUT, greet(node, tcp))
+        .await
+        .map_err(|_| Code::Silent)??;
+    node.members.greet(&hello, node.clock.now());
+    node.joined.notify_one();
+    send_document(node, &mut writer).await?;
+    let (replies, mut queue) = mpsc::channel(REPLY_QUEUE);
+    let send = async {
+        loop {
+            let message = tokio::select! {
+                Some(message) = queue.recv() => message,
+                () = node.clock.sleep(HEARTBEAT_INTERVAL) => {
+                    peer::Message::Heartbeat(node.heartbeat())
+                }
+            };
+            time::timeout(SILENCE, writer.send(&message))
+                .await
+                .map_err(|_| Code::Silent)??;
+        }
+    };
+    tokio::select! {
+        ended = receive(node, reader, &hello, &replies) => ended,
+        ended = send => ended,
+        () = node.stopped.cancelled() => Ok(()),
+    }
+}
+
+async fn greet(node: &Node, tcp: TcpStream) -> Result<(Writer, Reader, peer::Hello)> {
+    let _ = tcp.set_nodelay(true);
+    let stream = accept_async_with_config(tcp, Some(socket::config()))
+        .await
+        .map_err(|error| Code::Socket(Box::new(error)))?;
+    let (mut writer, mut reader) = socket::split(stream);
+    let nonce = format!("{:032x}", rand::random::<u128>());
+    let challenge = peer::Challenge {
+        nonce: nonce.clone(),
+    };
+    writer.send(&peer::Message::Challenge(challenge)).await?;
+    let peer::Message::Hello(theirs) = reader.receive(GREETING_TIMEOUT).await? else {
+        return Err(Code::Unexpected.into());
+    };
+    if !digest::verify(&node.settings.peer_secret, &nonce, &theirs.proof) {
+        return Err(Code::Secret.into());
+    }
+    let proof = digest::proof(&node.settings.peer_secret, &reverse_nonce(&nonce));
+    writer
+        .send(&peer::Message::Hello(hello(node, proof)))
+        .await?;
+    Ok((writer, reader, theirs))
+}
+
+async fn send_document(node: &Node, writer: &mut Writer) -> Result<()> {
+    let edition = node.catalog.current();
+    if edition.revision == 0 {
+        return writer
+            .send(&peer::Message::Heartbeat(node.heartbeat()))
+            .await;
+    }
+    let document = peer::Document {
+        revision: edition.revision,
+        document: edition.text.clone(),
+    };
+    writer.send(&peer::Message::Document(document)).await
+}
+
+async fn receive(
+    node: &Arc<Node>,
+    mut reader: Reader,
+    hello: &peer::Hello,
+    replies: &mpsc::Sender<peer::Message>,
+) -> Result<()> {
+    loop {
+        match reader.receive(SILENCE).await? {
+            peer::Message::AdapterRequest(request) => {
+                answer_adapter(node, request, replies.clone());
+            }
+            peer::Message::CallRequest(request) => answer_call(node, request, replies.clone()),
+            message => handle(node, &hello.incarnation, message)?,
+        }
+    }
+}
+
+/// Handles a message that has no reply.
+pub(crate) fn handle(node: &Node, from: &str, message: peer::Message) -> Result<()> {
+    match message {
+        peer::Message::Heartbeat(heartbeat) => {
+            let has_waiting = heartbeat
+                .usage
+                .iter()
+                .any(|usage| !usage.waiting.is_empty());
+            node.members.hear(from, heartbeat, node.clock.now());
+            if has_waiting {
+                node.work.notify_one();
+            }
+        }
+        peer::Message::Routes(routes) => {
+            node.gate.update(routes);
+        }
+        peer::Message::Document(document) => {
+            match node.catalog.offer(document.revision, &document.document) {
+                Ok(true) => log::info!("revision {} in force, from a peer", document.revision),
+                Ok(false) => {}
+                Err(error) => log::warn!("peer sent a bad document: {error}"),
+            }
+        }
+        _ => return Err(Code::Unexpected.into()),
+    }
+    Ok(())
+}
+
+fn answer_adapter(
+    node: &Arc<Node>,
+    request: peer::AdapterRequest,
+    replies: mpsc::Sender<peer::Message>,
+) {
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let resident = ask_keeper(&node, &request.adapter, &request.replica).await;
+        let reply = peer::AdapterReply {
+            id: request.id,
+            resident,
+        };
+        let _ = replies.send(peer::Message::AdapterReply(reply)).await;
+    });
+}
+
+/// Asks this instance's own keeper for an adapter; `false` if it keeps no shard.
+pub(crate) async fn ask_keeper(node: &Node, adapter: &str, replica: &str) -> bool {
+    let Some(tenure) = node.tenure.lock().clone() else {
+        return false;
+    };
+    let (sender, receiver) = oneshot::channel();
+    let ask = Ask {
+        adapter: adapter.to_owned(),
+        replica: replica.to_owned(),
+        reply: sender,
+    };
+    if tenure.asks.send(ask).await.is_err() {
+        return false;
+    }
+    receiver.await.unwrap_or(false)
+}
+
+fn answer_call(node: &Arc<Node>, request: peer::CallRequest, replies: mpsc::Sender<peer::Message>) {
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let reply = call::serve_forwarded(&node, request).await;
+        let _ = replies.send(peer::Message::CallReply(reply)).await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,131 @@
+//! The almondbank daemon.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use almondbank_platform::clock;
+use almondbank_wire::settings;
+use getopts::Options;
+use quick_error::quick_error;
+use tokio::signal::unix::{SignalKind, signal};
+
+const EXIT_USAGE: u8 = 2;
+const EXIT_SETTINGS: u8 = 3;
+const EXIT_FAILED: u8 = 1;
+
+quick_error! {
+    #[derive(Debug)]
+    enum Failure {
+        Usage(source: getopts::Fail) {
+            display("{}", source)
+            from()
+        }
+        Read(path: String, source: std::io::Error) {
+            display("cannot read {}: {}", path, source)
+        }
+        Settings(path: String, source: almondbank_wire::Error) {
+            display("{}: {}", path, source)
+        }
+        Log(source: log::SetLoggerError) {
+            display("cannot set up the log: {}", source)
+            from()
+        }
+        Runtime(source: std::io::Error) {
+            display("cannot start: {}", source)
+            from()
+        }
+        Daemon(source: almondbank::Error) {
+            display("{}", source)
+            from()
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("almondbank: {failure}");
+            ExitCode::from(match failure {
+                Failure::Usage(_) => EXIT_USAGE,
+                Failure::Read(..) | Failure::Settings(..) => EXIT_SETTINGS,
+                _ => EXIT_FAILED,
+            })
+        }
+    }
+}
+
+fn run() -> Result<(), Failure> {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options.reqopt("s", "settings", "the settings, a YAML file", "FILE");
+    options.optflag("", "check", "check the settings and exit");
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if arguments.iter().any(|a| a == "-h" || a == "--help") {
+        print!(
+            "{}",
+            options.usage("Usage: almondbank --settings FILE [--check]")
+        );
+        return Ok(());
+    }
+    if arguments.iter().any(|a| a == "-V" || a == "--version") {
+        println!("almondbank {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let matches = options.parse(&arguments)?;
+    let path = matches.opt_str("settings").unwrap_or_default();
+    let text =
+        std::fs::read_to_string(&path).map_err(|error| Failure::Read(path.clone(), error))?;
+    let settings =
+        settings::parse(&text).map_err(|error| Failure::Settings(path.clone(), error))?;
+    if matches.opt_present("check") {
+        println!("{path}: ok");
+        return Ok(());
+    }
+    set_up_log(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: settings::Settings) -> Result<(), Failure> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let clock = Arc::new(clock::System::new());
+    let daemon = almondbank::Daemon::start(settings, clock).await?;
+    println!("callers={} peers={}", daemon.callers(), daemon.peers());
+    tokio::select! {
+        _ = terminate.recv() => log::info!("asked to terminate"),
+        _ = interrupt.recv() => log::info!("interrupted"),
+        () = daemon.leaving() => log::info!("leaving"),
+    }
+    daemon.shutdown().await;
+    log::info!("stopped");
+    Ok(())
+}
+
+fn set_up_log(level: &str) -> Result<(), log::SetLoggerError> {
+    let level = level.parse().unwrap_or(log::LevelFilter::Info);
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let now = std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .unwrap_or_default();
+            out.finish(format_args!(
+                "{}.{:03} {} {} {message}",
+                now.as_secs(),
+                now.subsec_millis(),
+                record.level(),
+                record.target(),
+            ));
+        })
+        .level(log::LevelFilter::Warn)
+        .level_for("almondbank", level)
+        .level_for("almondbank_control", level)
+        .level_for("almondbank_serving", level)
+        .level_for("almondbank_platform", level)
+        .chain(std::io::stderr())
+        .apply()
+}
--- /dev/null
+++ b/crates/daemon/src/member_task.rs
@@ -0,0 +1,127 @@
+//! The tasks that register this instance, find the others and tell them its usage.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_control::{Result, key};
+use almondbank_platform::commit;
+use almondbank_platform::table::{Row, Transaction};
+use almondbank_wire::row;
+
+use crate::link;
+use crate::node::Node;
+
+const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
+const SCAN_INTERVAL: Duration = Duration::from_secs(2);
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(5);
+const USAGE_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_USAGE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Writes this instance's row, then keeps a connection to every other instance.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut dialled: BTreeSet<SocketAddr> = BTreeSet::new();
+    dialled.insert(node.peers);
+    for seed in &node.settings.seeds {
+        dial(&node, *seed, &mut dialled);
+    }
+    let mut registered = false;
+    loop {
+        if !registered {
+            registered = register(&node).await.is_ok();
+        }
+        if let Err(error) = discover(&node).await {
+            log::debug!("members not read: {error}");
+        }
+        for member in node.members.all().into_values() {
+            dial(&node, member.peers, &mut dialled);
+        }
+        tokio::select! {
+            () = node.stopped.cancelled() => return,
+            () = node.joined.notified() => {}
+            () = node.clock.sleep(SCAN_INTERVAL) => {}
+        }
+    }
+}
+
+fn dial(node: &Arc<Node>, address: SocketAddr, dialled: &mut BTreeSet<SocketAddr>) {
+    if dialled.insert(address) {
+        tokio::spawn(link::run(Arc::clone(node), address));
+    }
+}
+
+async fn register(node: &Node) -> Result<()> {
+    let member = row::Member {
+        instance: node.settings.instance.clone(),
+        incarnation: node.incarnation.clone(),
+        peers: node.peers.to_string(),
+        callers: node.callers.to_string(),
+        data_centre: node.settings.data_centre.clone(),
+    };
+    let key = key::member(node.environment(), &member.instance);
+    let transaction =
+        Transaction::new(format!("{}/register", node.incarnation)).put(key, key::encode(&member));
+    let deadline = node.clock.now() + REGISTER_TIMEOUT;
+    commit::settle(&*node.table, &*node.clock, &transaction, deadline).await?;
+    Ok(())
+}
+
+async fn discover(node: &Node) -> Result<()> {
+    let now = node.clock.now();
+    let rows = node.table.scan(&key::members(node.environment())).await?;
+    for found in rows {
+        let member: row::Member = key::decode(&found.key, &found.value)?;
+        if member.instance == node.settings.instance {
+            continue;
+        }
+        if node.members.is_unlisted(&member.instance, now) {
+            remove(node, &found).await?;
+        } else {
+            node.members.learn(&member);
+        }
+    }
+    Ok(())
+}
+
+// The VM is gone for good; a new one with the same name registers anew.
+async fn remove(node: &Node, row: &Row) -> Result<()> {
+    let transaction = Transaction::new(format!("{}/remove", node.incarnation))
+        .require(&row.key, row.version)
+        .delete(&row.key);
+    node.table.commit(&transaction).await?;
+    Ok(())
+}
+
+/// Reads the roster, and begins to leave when it lists this VM as leaving.
+pub(crate) async fn follow_roster(node: Arc<Node>) {
+    loop {
+        if let Ok(vms) = node.roster.vms().await {
+            node.members.list(vms, node.clock.now());
+            let listed = node.members.is_listed_leaving(&node.settings.instance);
+            if listed && !node.is_leaving() {
+                log::info!("the roster lists this VM as leaving");
+                node.leave();
+            }
+        }
+        tokio::select! {
+            () = node.stopped.cancelled() => return,
+            () = node.clock.sleep(ROSTER_INTERVAL) => {}
+        }
+    }
+}
+
+/// Publishes this instance's usage at an interval, and at once for cold models.
+pub(crate) async fn publish_usage(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            () = node.stopped.cancelled() => return,
+            () = node.cold.notified() => {}
+            () = node.clock.sleep(USAGE_INTERVAL) => {}
+        }
+        let usage = node.gate.usage();
+        node.usage.send_replace(Arc::new(usage));
+        node.work.notify_one();
+        node.clock.sleep(MIN_USAGE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,32 @@
+//! What surrounds almondbank, behind traits: the clock, the platform's table
+//! service, object store and roster, and the runners.
+//!
+//! Each trait has one small adapter that speaks HTTP and JSON. The adapters are
+//! meant to be replaced by ones for the real services; nothing above this
+//! package knows their wire format.
+//!
+//! ```
+//! use almondbank_platform::table;
+//!
+//! let transaction = table::Transaction::new("write-1")
+//!     .require("lease", 0)
+//!     .put("lease", "held");
+//! assert_eq!(transaction.id(), "write-1");
+//! ```
+
+pub mod clock;
+pub mod commit;
+pub mod http;
+pub mod objects;
+pub mod objects_http;
+pub mod retry;
+pub mod roster;
+pub mod roster_http;
+pub mod runner;
+pub mod runner_http;
+pub mod table;
+pub mod table_http;
+
+mod error;
+
+pub use error::{Category, Error, Result};
--- /dev/null
+++ b/crates/platform/src/roster_http.rs
@@ -0,0 +1,35 @@
+//! Adapter to a roster that speaks JSON over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use almondbank_wire::table as wire;
+use async_trait::async_trait;
+
+use crate::roster::{Roster, Vms};
+use crate::{Result, http};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A roster at an address.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    http: http::Client,
+}
+
+impl Client {
+    /// Makes an adapter for the roster at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr, http: http::Client) -> Self {
+        Self { address, http }
+    }
+}
+
+#[async_trait]
+impl Roster for Client {
+    async fn vms(&self) -> Result<Vms> {
+        let listed: Vec<wire::Vm> = self.http.get(self.address, "/roster", CALL_TIMEOUT).await?;
+        Ok(listed.into_iter().map(|vm| (vm.name, vm.state)).collect())
+    }
+}
--- /dev/null
+++ b/crates/serving/src/routing.rs
@@ -0,0 +1,164 @@
+//! Replicas that take work, and the choice among them.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use almondbank_control::demand::Target;
+use almondbank_wire::{id, peer};
+
+use crate::prefix::Prefix;
+
+/// Load above the mean at which a replica is passed over, in percent
+/// (Mirrokni et al., "Consistent Hashing with Bounded Loads", SODA 2018).
+const BOUND_PERCENT: u32 = 125;
+const PERCENT: u32 = 100;
+
+/// One replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Id of the replica.
+    pub replica: id::Replica,
+    /// Runner that holds it.
+    pub runner: id::Runner,
+    /// Whether it takes work.
+    pub ready: bool,
+    /// Estimated time until it does.
+    pub ready_in: Duration,
+    /// Adapters resident on it.
+    pub adapters: Vec<id::Adapter>,
+}
+
+/// The keeper's latest view of the shard.
+#[derive(Debug, Default)]
+pub struct Table {
+    fencing: id::Fencing,
+    sequence: u64,
+    targets: BTreeMap<Target, Vec<Route>>,
+    runners: BTreeMap<id::Runner, Vec<Target>>,
+    credits: BTreeMap<id::Runner, u32>,
+}
+
+/// Load of one runner at this instance.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests at work.
+    pub running: u32,
+    /// Requests allowed.
+    pub slots: u32,
+}
+
+impl Table {
+    /// Replaces the view unless it is older than the one held.
+    ///
+    /// Returns whether it was replaced.
+    pub fn update(&mut self, routes: peer::Routes) -> bool {
+        if (routes.fencing, routes.sequence) <= (self.fencing, self.sequence) {
+            return false;
+        }
+        self.fencing = routes.fencing;
+        self.sequence = routes.sequence;
+        self.targets.clear();
+        self.runners.clear();
+        for route in routes.replicas {
+            self.insert(route);
+        }
+        self.credits = routes
+            .credits
+            .into_iter()
+            .map(|credit| (credit.runner, credit.slots))
+            .collect();
+        true
+    }
+
+    /// Replicas of `target`, ready or not.
+    #[must_use]
+    pub fn replicas(&self, target: &Target) -> &[Route] {
+        self.targets.get(target).map_or(&[], Vec::as_slice)
+    }
+
+    /// Targets with a ready replica on `runner`.
+    #[must_use]
+    pub fn targets_on(&self, runner: &str) -> &[Target] {
+        self.runners.get(runner).map_or(&[], Vec::as_slice)
+    }
+
+    /// Runners with a ready replica.
+    pub fn runners(&self) -> impl Iterator<Item = &id::Runner> {
+        self.runners.keys()
+    }
+
+    /// Requests that this instance may run on `runner`.
+    #[must_use]
+    pub fn credit(&self, runner: &str) -> u32 {
+        self.credits.get(runner).copied().unwrap_or(0)
+    }
+
+    /// Fencing number of the keeper that the view is from.
+    #[must_use]
+    pub fn fencing(&self) -> id::Fencing {
+        self.fencing
+    }
+
+    fn insert(&mut self, route: peer::Route) {
+        let target = Target {
+            model: route.model,
+            version: route.version,
+        };
+        if route.ready {
+            let targets = self.runners.entry(route.runner.clone()).or_default();
+            targets.push(target.clone());
+        }
+        self.targets.entry(target).or_default().push(Route {
+            replica: route.replica,
+            runner: route.runner,
+            ready: route.ready,
+            ready_in: Duration::from_millis(route.ready_in_ms),
+            adapters: route.adapters,
+        });
+    }
+}
+
+/// Chooses among `candidates`, each a route and the load of its runner.
+///
+/// A replica that has seen the prompt's beginning goes first, then one on which
+/// the adapter is resident. Otherwise rendezvous hashing sends equal beginnings
+/// to the same replica from every instance, passing over replicas whose load is
+/// well above the mean.
+pub fn choose<'a>(
+    candidates: impl Iterator<Item = (&'a Route, Load)> + Clone,
+    prefix: &Prefix,
+    seen_by: Option<&str>,
+    adapter: Option<&str>,
+) -> Option<&'a Route> {
+    let (running, slots) = candidates
+        .clone()
+        .fold((0, 0), |(running, slots), (_, load)| {
+            (running + load.running, slots + load.slots)
+        });
+    let limit = |load: Load| {
+        let share = u64::from(running + 1) * u64::from(load.slots) * u64::from(BOUND_PERCENT);
+        let mean = u64::from(slots.max(1)) * u64::from(PERCENT);
+        u64::from(load.running) <= share.div_ceil(mean)
+    };
+    let resident = |route: &Route| {
+        adapter.is_none_or(|adapter| route.adapters.iter().any(|known| known == adapter))
+    };
+    candidates
+        .max_by_key(|(route, load)| {
+            (
+                limit(*load),
+                seen_by == Some(route.replica.as_str()),
+                resident(route),
+                rendezvous(prefix.head(), &route.replica),
+            )
+        })
+        .map(|(route, _)| route)
+}
+
+fn rendezvous(prefix: u64, replica: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    prefix.hash(&mut hasher);
+    replica.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,182 @@
+//! A caller, for tests and examples.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use almondbank_platform::http;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+const TIMEOUT: Duration = Duration::from_mins(1);
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is not.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// The body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Text of a chat answer, whole or streamed.
+    #[must_use]
+    pub fn content(&self) -> String {
+        let whole = self.json();
+        if let Some(content) = whole["choices"][0]["message"]["content"].as_str() {
+            return content.to_owned();
+        }
+        self.text()
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .filter_map(|event| serde_json::from_str::<Value>(event).ok())
+            .filter_map(|event| {
+                let content = &event["choices"][0]["delta"]["content"];
+                content.as_str().map(str::to_owned)
+            })
+            .collect()
+    }
+}
+
+/// A caller or operator with a key.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: http::Client,
+    key: String,
+}
+
+impl Client {
+    /// Makes a caller that sends `key`.
+    #[must_use]
+    pub fn new(key: impl Into<String>) -> Self {
+        Self {
+            http: http::Client::new(),
+            key: key.into(),
+        }
+    }
+
+    /// Sends a request and collects the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> almondbank_platform::Result<Answer> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body.into()))
+            .map_err(|_| almondbank_platform::Error::not_sent())?;
+        let answer = self.http.call(request, TIMEOUT).await?;
+        Ok(Answer {
+            status: answer.status().as_u16(),
+            body: answer.into_body(),
+        })
+    }
+
+    /// Gets `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> almondbank_platform::Result<Answer> {
+        self.send(address, Method::GET, path, &[], "").await
+    }
+
+    /// Posts `body` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &(impl Serialize + Sync),
+    ) -> almondbank_platform::Result<Answer> {
+        let text = serde_json::to_vec(body).unwrap_or_default();
+        self.send(address, Method::POST, path, headers, text).await
+    }
+
+    /// Sends a chat request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn chat(
+        &self,
+        address: SocketAddr,
+        model: &str,
+        question: &str,
+        stream: bool,
+    ) -> almondbank_platform::Result<Answer> {
+        let body = json!({
+            "model": model,
+            "stream": stream,
+            "messages": [{"role": "user", "content": question}],
+        });
+        self.post(address, "/v1/chat/completions", &[], &body).await
+    }
+
+    /// Sends a service call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &str,
+        key: &str,
+        body: &Value,
+    ) -> almondbank_platform::Result<Answer> {
+        let headers: &[(&str, &str)] = if key.is_empty() {
+            &[]
+        } else {
+            &[("idempotency-key", key)]
+        };
+        self.post(address, &format!("/v1/services/{call}"), headers, body)
+            .await
+    }
+
+    /// The ticket of the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn ticket(&self, address: SocketAddr) -> almondbank_platform::Result<String> {
+        let answer = self.get(address, "/v1/entries").await?.json();
+        Ok(answer["ticket"].as_str().unwrap_or_default().to_owned())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/runner.rs
@@ -0,0 +1,364 @@
+//! A model runner behind HTTP.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_platform::clock::Clock;
+use almondbank_wire::order::{Action, Order, Report};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode, header};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::engine::{Engine, Refusal};
+use crate::server::{self, Body, Server, Service};
+
+const REQUEST_ID: &str = "x-request-id";
+
+/// How the runner misbehaves, and how it works.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Chat requests are taken but never answered.
+    pub silent: bool,
+    /// Answers break off after this many tokens.
+    pub cut_after: Option<usize>,
+    /// Answers bear the id of another request.
+    pub crossed: bool,
+    /// Tokens of an answer.
+    pub tokens: usize,
+    /// Time between tokens, in milliseconds.
+    pub token_ms: u64,
+    /// Time before the first token, in milliseconds.
+    pub prefill_ms: u64,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Time of an adapter load, in milliseconds.
+    pub adapter_ms: u64,
+    /// Lag of the reports, in milliseconds.
+    pub report_lag_ms: u64,
+    /// The runner announces that it leaves.
+    pub leaving: bool,
+    /// Time of a load from the weight store from now on, in milliseconds.
+    pub load_ms: Option<u64>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            silent: false,
+            cut_after: None,
+            crossed: false,
+            tokens: 4,
+            token_ms: 0,
+            prefill_ms: 0,
+            slots: 16,
+            adapter_ms: 5,
+            report_lag_ms: 0,
+            leaving: false,
+            load_ms: None,
+        }
+    }
+}
+
+/// A model runner.
+#[derive(Debug)]
+pub struct Runner {
+    name: String,
+    clock: Arc<dyn Clock>,
+    /// Its memory.
+    pub engine: Mutex<Engine>,
+    behaviour: Mutex<Behaviour>,
+    reports: Mutex<Vec<Stamped>>,
+    slots: Mutex<Slots>,
+}
+
+#[derive(Debug)]
+struct Stamped {
+    at: Duration,
+    report: Report,
+}
+
+#[derive(Debug, Default)]
+struct Slots {
+    running: usize,
+    sequence: u64,
+    waiting: BTreeMap<(u64, u64), oneshot::Sender<()>>,
+}
+
+impl Runner {
+    /// Makes a runner.
+    #[must_use]
+    pub fn new(
+        name: impl Into<String>,
+        engine: Engine,
+        behaviour: Behaviour,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.into(),
+            clock,
+            engine: Mutex::new(engine),
+            behaviour: Mutex::new(behaviour),
+            reports: Mutex::default(),
+            slots: Mutex::default(),
+        })
+    }
+
+    /// Serves it on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Server> {
+        server::start(address, Arc::clone(self)).await
+    }
+
+    /// Changes how it behaves.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        let mut engine = self.engine.lock();
+        engine.set_leaving(behaviour.leaving);
+        if let Some(load_ms) = behaviour.load_ms {
+            engine.set_load_time(Duration::from_millis(load_ms));
+        }
+        drop(engine);
+        *self.behaviour.lock() = behaviour;
+    }
+
+    fn report(&self) -> Report {
+        let now = self.clock.now();
+        let lag = Duration::from_millis(self.behaviour.lock().report_lag_ms);
+        let report = self.engine.lock().report(now);
+        if lag.is_zero() {
+            return report;
+        }
+        let mut reports = self.reports.lock();
+        reports.push(Stamped { at: now, report });
+        let old = reports
+            .iter()
+            .rposition(|stamped| stamped.at + lag <= now)
+            .unwrap_or(0);
+        reports.drain(..old);
+        reports[0].report.clone()
+    }
+
+    async fn order(&self, order: Order) -> Response<Body> {
+        if order.action == Action::LoadAdapter {
+            let wait = self.behaviour.lock().adapter_ms;
+            time::sleep(Duration::from_millis(wait)).await;
+        }
+        let outcome = self.engine.lock().order(&order, self.clock.now());
+        match outcome {
+            Ok(receipt) => server::json(&receipt),
+            Err(Refusal::Stale) => server::text(StatusCode::PRECONDITION_FAILED, ""),
+            Err(Refusal::Missing) => server::text(StatusCode::CONFLICT, ""),
+        }
+    }
+
+    async fn chat(self: Arc<Self>, id: String, body: Bytes) -> Option<Response<Body>> {
+        let Ok(question) = serde_json::from_slice::<Value>(&body) else {
+            return Some(server::text(StatusCode::BAD_REQUEST, "{}"));
+        };
+        let name = question["model"].as_str().unwrap_or_default().to_owned();
+        let (base, version) = name.split_once('@').unwrap_or((&name, ""));
+        let served = self.engine.lock().serves(base, version, self.clock.now());
+        if !served {
+            return Some(server::text(StatusCode::NOT_FOUND, "{}"));
+        }
+        let behaviour = self.behaviour.lock().clone();
+        if behaviour.silent {
+            std::future::pending::<()>().await;
+        }
+        let priority = question["priority"].as_u64().unwrap_or(3);
+        let slot = Slot::take(&self, priority, behaviour.slots).await;
+        self.engine.lock().record_run(&id);
+        time::sleep(Duration::from_millis(behaviour.prefill_ms)).await;
+        let tokens = self.tokens(&question, &behaviour);
+        let answered = if behaviour.crossed {
+            "crossed".to_owned()
+        } else {
+            id
+        };
+        let mut response = if question["stream"] == Value::Bool(true) {
+            stream_answer(&answered, &name, tokens, &behaviour, slot)
+        } else {
+            let pace = Duration::from_millis(behaviour.token_ms);
+            time::sleep(pace * u32::try_from(tokens.len()).unwrap_or(0)).await;
+            drop(slot);
+            whole_answer(&answered, &name, &tokens, &behaviour)
+        };
+        let value = header::HeaderValue::from_str(&answered).ok()?;
+        response.headers_mut().insert(REQUEST_ID, value);
+        Some(response)
+    }
+
+    // The answer repeats the question, so that tests can tell answers apart.
+    fn tokens(&self, question: &Value, behaviour: &Behaviour) -> Vec<String> {
+        let last = question["messages"]
+            .as_array()
+            .and_then(|messages| messages.last())
+            .and_then(|message| message["content"].as_str())
+            .unwrap_or_default();
+        let mut tokens = vec![format!("{}:", self.name), format!(" {last}")];
+        tokens.extend((2..behaviour.tokens).map(|n| format!(" t{n}")));
+        tokens
+    }
+}
+
+impl Service for Runner {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let path = request.uri().path().to_owned();
+        let id = request
+            .headers()
+            .get(REQUEST_ID)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let body = server::collect(request).await;
+        match path.as_str() {
+            "/report" => Some(server::json(&self.report())),
+            "/orders" => Some(self.order(serde_json::from_slice(&body).ok()?).await),
+            "/v1/chat/completions" => self.chat(id, body).await,
+            "/count" => Some(server::json(self.engine.lock().count())),
+            "/behaviour" => {
+                self.set_behaviour(serde_json::from_slice(&body).ok()?);
+                Some(server::json(&true))
+            }
+            _ => Some(server::text(StatusCode::NOT_FOUND, "")),
+        }
+    }
+}
+
+fn whole_answer(id: &str, model: &str, tokens: &[String], behaviour: &Behaviour) -> Response<Body> {
+    let content = tokens.concat();
+    let answer = json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": "stop",
+        }],
+    });
+    let text = answer.to_string();
+    let Some(kept) = behaviour.cut_after else {
+        return server::text(StatusCode::OK, text);
+    };
+    let part = Bytes::from(text).slice(..kept.min(8));
+    let frames = stream::iter([Ok(Frame::data(part)), Err(server::cut())]);
+    Response::new(BodyExt::boxed(StreamBody::new(frames)))
+}
+
+fn stream_answer(
+    id: &str,
+    model: &str,
+    tokens: Vec<String>,
+    behaviour: &Behaviour,
+    slot: Slot,
+) -> Response<Body> {
+    let pace = Duration::from_millis(behaviour.token_ms);
+    let cut_after = behaviour.cut_after.unwrap_or(usize::MAX);
+    let mut events: Vec<_> = tokens
+        .into_iter()
+        .map(|token| {
+            let chunk = json!({
+                "id": id,
+                "object": "chat.completion.chunk",
+                "model": model,
+                "choices": [{"index": 0, "delta": {"content": token}}],
+            });
+            format!("data: {chunk}\n\n")
+        })
+        .collect();
+    events.push("data: [DONE]\n\n".to_owned());
+    let frames = stream::iter(events.into_iter().enumerate()).then(move |(at, event)| {
+        let _held = &slot;
+        async move {
+            if at > 0 && !pace.is_zero() {
+                time::sleep(pace).await;
+            }
+            if at >= cut_after {
+                return Err(server::cut());
+            }
+            Ok(Frame::data(Bytes::from(event)))
+        }
+    });
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(SyncStream::new(frames))));
+    let kind = header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// One of the requests that run at once; the next by priority follows it.
+struct Slot {
+    runner: Arc<Runner>,
+}
+
+impl Slot {
+    async fn take(runner: &Arc<Runner>, priority: u64, limit: usize) -> Self {
+        let receiver = {
+            let mut slots = runner.slots.lock();
+            if slots.running < limit {
+                slots.running += 1;
+                None
+            } else {
+                slots.sequence += 1;
+                let place = (priority, slots.sequence);
+                let (sender, receiver) = oneshot::channel();
+                slots.waiting.insert(place, sender);
+                Some(receiver)
+            }
+        };
+        if let Some(receiver) = receiver {
+            let _ = receiver.await;
+        }
+        Self {
+            runner: Arc::clone(runner),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut slots = self.runner.slots.lock();
+        while let Some((_, next)) = slots.waiting.pop_first() {
+            if next.send(()).is_ok() {
+                return;
+            }
+        }
+        slots.running -= 1;
+    }
+}
+
+/// Makes a stream that is polled by one task at a time shareable.
+struct SyncStream<S> {
+    inner: Mutex<std::pin::Pin<Box<S>>>,
+}
+
+impl<S> SyncStream<S> {
+    fn new(stream: S) -> Self {
+        Self {
+            inner: Mutex::new(Box::pin(stream)),
+        }
+    }
+}
+
+impl<S: futures_util::Stream> futures_util::Stream for SyncStream<S> {
+    type Item = S::Item;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<S::Item>> {
+        self.inner.lock().as_mut().poll_next(context)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,160 @@
+//! A table service in memory, with faults.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use almondbank_platform::table::{ABSENT, Outcome, Row, Table, Transaction};
+use almondbank_platform::{Error, Result};
+use async_trait::async_trait;
+use parking_lot::Mutex;
+
+/// What happens to one commit.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It takes effect, but the answer is lost.
+    LostAnswer,
+    /// It is lost before it takes effect.
+    LostCall,
+    /// It takes effect only when [`Store::deliver_delayed`] is called.
+    Delayed,
+}
+
+/// A table service in memory; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: BTreeMap<String, Row>,
+    version: u64,
+    down: bool,
+    faults: VecDeque<Fault>,
+    delayed: Vec<Transaction>,
+    writes: u64,
+    reads: u64,
+}
+
+impl Store {
+    /// Takes the service down or up again.
+    pub fn set_down(&self, down: bool) {
+        self.inner.lock().down = down;
+    }
+
+    /// Whether it is down.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.inner.lock().down
+    }
+
+    /// Sets what happens to the next commits, in order.
+    pub fn inject(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.inner.lock().faults.extend(faults);
+    }
+
+    /// Lets delayed commits arrive.
+    pub fn deliver_delayed(&self) {
+        let mut inner = self.inner.lock();
+        for transaction in std::mem::take(&mut inner.delayed) {
+            inner.apply(&transaction);
+        }
+    }
+
+    /// Commits tried so far.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.inner.lock().writes
+    }
+
+    /// Reads and scans so far.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.inner.lock().reads
+    }
+
+    /// All rows whose key begins with `prefix`, also while the service is down.
+    #[must_use]
+    pub fn peek(&self, prefix: &str) -> Vec<Row> {
+        self.inner.lock().scan(prefix)
+    }
+}
+
+impl Inner {
+    fn scan(&self, prefix: &str) -> Vec<Row> {
+        self.rows
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, row)| row.clone())
+            .collect()
+    }
+
+    fn apply(&mut self, transaction: &Transaction) -> Outcome {
+        for (key, version) in transaction.conditions() {
+            let found = self.rows.get(key).map_or(ABSENT, |row| row.version);
+            if found != *version {
+                return Outcome::Conflict(key.clone());
+            }
+        }
+        self.version += 1;
+        for (key, value) in transaction.writes() {
+            let Some(value) = value else {
+                self.rows.remove(key);
+                continue;
+            };
+            let row = Row {
+                key: key.clone(),
+                version: self.version,
+                writer: transaction.id().to_owned(),
+                value: value.clone(),
+            };
+            self.rows.insert(key.clone(), row);
+        }
+        Outcome::Committed(self.version)
+    }
+
+    fn check_up(&self) -> Result<()> {
+        if self.down {
+            return Err(Error::timeout());
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Table for Store {
+    async fn get(&self, key: &str) -> Result<Option<Row>> {
+        let mut inner = self.inner.lock();
+        inner.reads += 1;
+        inner.check_up()?;
+        Ok(inner.rows.get(key).cloned())
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>> {
+        let mut inner = self.inner.lock();
+        inner.reads += 1;
+        inner.check_up()?;
+        Ok(inner.scan(prefix))
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Outcome> {
+        let mut inner = self.inner.lock();
+        inner.writes += 1;
+        inner.check_up()?;
+        match inner.faults.pop_front().unwrap_or_default() {
+            Fault::None => Ok(inner.apply(transaction)),
+            Fault::LostAnswer => {
+                inner.apply(transaction);
+                Err(Error::timeout())
+            }
+            Fault::LostCall => Err(Error::timeout()),
+            Fault::Delayed => {
+                inner.delayed.push(transaction.clone());
+                Err(Error::timeout())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/digest.rs
@@ -0,0 +1,77 @@
+//! Digests of keys and bodies, and proofs of a shared secret.
+
+use std::fmt::Write;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+
+use crate::Result;
+use crate::error::Code;
+
+const HEX_DIGITS: usize = 64;
+
+/// SHA-256 of `bytes` in lower-case hexadecimal digits.
+///
+/// ```
+/// let digest = almondbank_wire::digest::sha256(b"key");
+/// assert_eq!(digest.len(), 64);
+/// ```
+#[must_use]
+pub fn sha256(bytes: impl AsRef<[u8]>) -> String {
+    hex(&Sha256::digest(bytes.as_ref()))
+}
+
+/// HMAC-SHA256 of `nonce` under `secret` in hexadecimal digits (RFC 2104).
+#[must_use]
+pub fn proof(secret: &str, nonce: &str) -> String {
+    let tag = mac(secret, nonce).finalize().into_bytes();
+    hex(&tag)
+}
+
+/// Whether `proof` is that of `nonce` under `secret`, compared in constant time.
+#[must_use]
+pub fn verify(secret: &str, nonce: &str, proof: &str) -> bool {
+    let Some(tag) = unhex(proof) else {
+        return false;
+    };
+    mac(secret, nonce).verify_slice(&tag).is_ok()
+}
+
+/// Checks that `text` is a SHA-256 digest in hexadecimal digits.
+///
+/// # Errors
+///
+/// Fails if it is not.
+pub fn check(text: &str) -> Result<String> {
+    let valid = text.len() == HEX_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+    if valid {
+        Ok(text.to_ascii_lowercase())
+    } else {
+        Err(Code::Digest.into())
+    }
+}
+
+fn mac(secret: &str, nonce: &str) -> Hmac<Sha256> {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("HMAC takes keys of any length");
+    mac.update(nonce.as_bytes());
+    mac
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    (0..text.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,38 @@
+//! Messages, rows, documents and settings of almondbank, with their checks.
+//!
+//! The raw types are generated from the JSON Schema files under `schema/` and
+//! re-exported by the modules named after those files. [`document`] and
+//! [`settings`] turn raw YAML into checked types and report every mistake at
+//! once, each with its path.
+//!
+//! ```
+//! use almondbank_wire::document;
+//!
+//! let checked = document::parse("environment: trial\n").unwrap();
+//! assert_eq!(checked.environment, "trial");
+//!
+//! let error = document::parse("environment: 3\nmodles: []\n").unwrap_err();
+//! assert_eq!(error.findings().len(), 2);
+//! ```
+
+pub mod codec;
+pub mod digest;
+pub mod document;
+pub mod id;
+pub mod operator;
+pub mod order;
+pub mod peer;
+pub mod problem;
+pub mod rank;
+pub mod row;
+pub mod settings;
+pub mod table;
+pub mod ticket;
+
+mod error;
+mod finding;
+mod generated;
+mod yaml;
+
+pub use error::{Category, Error, Result};
+pub use finding::Finding;
--- /dev/null
+++ b/crates/wire/src/operator.rs
@@ -0,0 +1,3 @@
+//! Requests of operators and their answers.
+
+pub use crate::generated::operator::*;
--- /dev/null
+++ b/crates/wire/src/order.rs
@@ -0,0 +1,3 @@
+//! Orders to runners and their reports.
+
+pub use crate::generated::order::*;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,3 @@
+//! Messages between instances.
+
+pub use crate::generated::peer::*;
--- /dev/null
+++ b/crates/wire/src/yaml.rs
@@ -0,0 +1,44 @@
+//! Reads YAML against a schema and reports every mistake at once.
+
+use std::collections::BTreeSet;
+
+use jsonschema::Validator;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::error::Code;
+use crate::{Result, finding};
+
+/// Parses `text` as YAML, checks it against `schema` and converts it.
+///
+/// # Errors
+///
+/// Fails if the text is not YAML, or with all places in which it departs from
+/// the schema.
+pub(crate) fn parse<T: DeserializeOwned>(text: &str, schema: &str) -> Result<T> {
+    let value: Value =
+        serde_saphyr::from_str(text).map_err(|error| Code::Yaml(error.to_string()))?;
+    let findings = check(&value, schema)?;
+    if !findings.is_empty() {
+        return Err(Code::Findings(findings).into());
+    }
+    let typed = serde_json::from_value(value).map_err(Code::Json)?;
+    Ok(typed)
+}
+
+/// Writes `value` as YAML.
+pub(crate) fn write(value: &impl Serialize) -> Result<String> {
+    let text = serde_saphyr::to_string(value).map_err(|error| Code::Yaml(error.to_string()))?;
+    Ok(text)
+}
+
+fn check(value: &Value, schema: &str) -> Result<Vec<finding::Finding>> {
+    let schema: Value = serde_json::from_str(schema).map_err(Code::Json)?;
+    let validator = Validator::new(&schema).map_err(|error| Code::Yaml(error.to_string()))?;
+    let findings: BTreeSet<_> = validator
+        .iter_errors(value)
+        .map(|error| finding::Finding::new(error.instance_path().to_string(), error.to_string()))
+        .collect();
+    Ok(findings.into_iter().collect())
+}
