--- /dev/null
+++ b/crates/standin/examples/standin.rs
@@ -0,0 +1,43 @@
+//! One stand-in as a process of its own; prints `address=IP:PORT`.
+//!
+//! `standin platform VM...`, `standin service`, or
+//! `standin runner NAME MEMORY_BYTES CHECKS_FENCING LOAD_MS`.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_platform::clock::System;
+use almondbank_standin::engine::{Engine, Traits};
+use almondbank_standin::platform::Platform;
+use almondbank_standin::runner::{Behaviour, Runner};
+use almondbank_standin::service::Service;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let loopback: SocketAddr = "127.0.0.1:0".parse()?;
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let (kind, rest) = arguments.split_first().ok_or("which stand-in?")?;
+    let server = match (kind.as_str(), rest) {
+        ("platform", vms) => Platform::new(vms.iter().cloned()).serve(loopback).await?,
+        ("service", []) => Service::new().serve(loopback).await?,
+        ("runner", [name, memory, checks, load_ms]) => {
+            let traits = Traits {
+                memory_bytes: memory.parse()?,
+                checks_fencing: checks.parse()?,
+                load_time: Duration::from_millis(load_ms.parse()?),
+                cached: Vec::new(),
+            };
+            let run: u64 = rand::random();
+            let engine = Engine::new(format!("{name}-{run:016x}"), traits);
+            let clock = Arc::new(System::new());
+            let runner = Runner::new(name, engine, Behaviour::default(), clock);
+            runner.serve(loopback).await?
+        }
+        _ => return Err("unknown stand-in or arguments".into()),
+    };
+    println!("address={}", server.address);
+    std::future::pending::<()>().await;
+    Ok(())
+}
