--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -96,6 +96,7 @@
             let placed = Placed {
                 since: now,
                 tier: Tier::Remote,
+                confirmed: None,
                 row,
             };
             replicas.insert(placed.row.replica.clone(), placed);
@@ -148,6 +149,11 @@
         let now = self.clock.now();
         self.lease.prune_former(input.is_gone);
         self.note_use(input, now);
+        for placed in self.replicas.values_mut() {
+            if let Some(seen) = input.observations.get(&placed.row.runner) {
+                placed.observe(seen);
+            }
+        }
         let decisions = if self.has_heard_all(input, now) {
             self.plan(input, now)
         } else {
@@ -248,10 +254,12 @@
                     return true;
                 }
                 let seen = input.observations.get(&placed.row.runner);
+                let unload = placed.row.unload.as_deref().unwrap_or_default();
                 seen.is_some_and(|seen| {
-                    seen.has_finished(&placed.row.order)
+                    seen.has_finished(unload)
                         && seen.resident(&placed.row.replica).is_none()
-                })
+                        && placed.is_confirmed(seen)
+                }) && !self.lease.has_former_since(placed.row.fencing)
             })
             .map(|placed| placed.row.replica.clone())
             .collect()
@@ -277,7 +285,9 @@
         }
         for replica in removed {
             if let Some(placed) = self.replicas.remove(replica) {
-                self.sent.remove(&placed.row.order);
+                self.sent.remove(&placed.row.load);
+                self.sent
+                    .remove(placed.row.unload.as_deref().unwrap_or_default());
             }
         }
         Ok(())
@@ -293,18 +303,17 @@
                     runner: load.runner,
                     bytes: load.bytes,
                     pool_bytes: load.pool_bytes,
-                    goal: row::Goal::Load,
-                    order: self.next_id("load"),
+                    load: self.next_id("load"),
+                    unload: None,
                     fencing: self.lease.fencing(),
                 },
                 since: now,
                 tier: load.tier,
+                confirmed: None,
             }),
             Decision::Unload(replica) => {
                 let mut placed = self.replicas.get(&replica)?.clone();
-                self.sent.remove(&placed.row.order);
-                placed.row.goal = row::Goal::Unload;
-                placed.row.order = self.next_id("unload");
+                placed.row.unload = Some(self.next_id("unload"));
                 placed.since = now;
                 Some(placed)
             }
@@ -321,67 +330,62 @@
         let now = self.clock.now();
         let mut dispatches = Vec::new();
         for placed in self.replicas.values() {
+            let Some(runner) = input.document.runners.get(&placed.row.runner) else {
+                continue;
+            };
+            let Some(order) = self.open_order(placed, input, now) else {
+                continue;
+            };
             let due = self
                 .sent
-                .get(&placed.row.order)
+                .get(&order.order)
                 .is_none_or(|sent| now.saturating_sub(*sent) >= RESEND_INTERVAL);
-            if !due || !self.is_open(placed, input, now) {
+            if !due {
                 continue;
             }
-            let Some(runner) = input.document.runners.get(&placed.row.runner) else {
-                continue;
-            };
-            self.sent.insert(placed.row.order.clone(), now);
+            self.sent.insert(order.order.clone(), now);
             dispatches.push(Dispatch {
                 runner: placed.row.runner.clone(),
                 address: runner.address,
-                order: order(placed, self.lease.fencing()),
+                order,
             });
         }
         dispatches
     }
 
-    fn is_open(&self, placed: &Placed, input: &Input<'_>, now: Duration) -> bool {
-        let Some(seen) = input.observations.get(&placed.row.runner) else {
-            return false;
-        };
-        if !seen.is_fresh(now) || seen.has_finished(&placed.row.order) {
-            return false;
+    // The load order stays open until the runner shows that it has received it,
+    // also when the replica is to be unloaded: a copy of it that is still under
+    // way would otherwise load the replica after the unload. Runners carry out
+    // an order id once, so that a later copy has no effect. A restarted runner
+    // knows neither old ids nor the fencing number that it last saw, so nothing
+    // is unloaded while a former keeper may still send its last order.
+    fn open_order(&self, placed: &Placed, input: &Input<'_>, now: Duration) -> Option<Order> {
+        let seen = input.observations.get(&placed.row.runner)?;
+        if !seen.is_fresh(now) {
+            return None;
         }
-        if placed.is_wanted() {
-            return seen.resident(&placed.row.replica).is_none();
+        if !placed.is_confirmed(seen) {
+            return Some(self.order(placed, Action::Load, &placed.row.load));
         }
-        now.saturating_sub(placed.since) >= UNLOAD_GRACE && self.may_unload(placed, input)
-    }
-
-    // A former keeper that was frozen may still send its last load order. A
-    // runner that checks fencing numbers refuses it; for another one the replica
-    // stays until that keeper is known to be gone.
-    fn may_unload(&self, placed: &Placed, input: &Input<'_>) -> bool {
-        let checks = input
-            .document
-            .runners
-            .get(&placed.row.runner)
-            .is_some_and(|runner| runner.checks_fencing);
-        checks || !self.lease.has_former_since(placed.row.fencing)
+        let unload = placed.row.unload.as_deref()?;
+        let open = !seen.has_finished(unload)
+            && now.saturating_sub(placed.since) >= UNLOAD_GRACE
+            && !self.lease.has_former_since(placed.row.fencing);
+        open.then(|| self.order(placed, Action::Unload, unload))
     }
-}
 
-fn order(placed: &Placed, fencing: id::Fencing) -> Order {
-    let action = match placed.row.goal {
-        row::Goal::Load => Action::Load,
-        row::Goal::Unload => Action::Unload,
-    };
-    Order {
-        order: placed.row.order.clone(),
-        fencing,
-        action,
-        replica: placed.row.replica.clone(),
-        model: placed.row.model.clone(),
-        version: placed.row.version.clone(),
-        bytes: placed.row.bytes,
-        pool_bytes: placed.row.pool_bytes,
-        adapter: None,
+    fn order(&self, placed: &Placed, action: Action, order: &str) -> Order {
+        Order {
+            order: order.to_owned(),
+            fencing: self.lease.fencing(),
+            action,
+            replica: placed.row.replica.clone(),
+            model: placed.row.model.clone(),
+            version: placed.row.version.clone(),
+            bytes: placed.row.bytes,
+            pool_bytes: placed.row.pool_bytes,
+            adapter: None,
+        }
     }
 }
 
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -38,6 +38,8 @@
     pub since: Duration,
     /// Where its checkpoint came from.
     pub tier: Tier,
+    /// Run of the runner that has shown that it received the load order.
+    pub confirmed: Option<id::Incarnation>,
 }
 
 impl Placed {
@@ -50,16 +52,30 @@
         }
     }
 
+    /// Records what a report shows of the load order.
+    pub fn observe(&mut self, seen: &Observation) {
+        let resident = seen.resident(&self.row.replica).is_some();
+        if resident || seen.has_finished(&self.row.load) {
+            self.confirmed = Some(seen.report.incarnation.clone());
+        }
+    }
+
+    /// Whether the run of the runner that reports has received the load order.
+    #[must_use]
+    pub fn is_confirmed(&self, seen: &Observation) -> bool {
+        self.confirmed.as_ref() == Some(&seen.report.incarnation)
+    }
+
     /// Memory that counts from the row on, in bytes.
     #[must_use]
     pub fn reserved_bytes(&self) -> u64 {
         self.row.bytes.saturating_add(self.row.pool_bytes)
     }
 
-    /// Whether the row asks for the replica to be loaded.
+    /// Whether the replica is to stay loaded.
     #[must_use]
     pub fn is_wanted(&self) -> bool {
-        self.row.goal == row::Goal::Load
+        self.row.unload.is_none()
     }
 }
 
@@ -132,6 +148,7 @@
     let mut round = Round::new(view);
     round.unload_unserved();
     round.unload_overdue();
+    round.unload_again();
     round.shrink();
     round.load_cold(budget);
     round.decisions
@@ -220,6 +237,27 @@
         }
     }
 
+    // A replica that is there after its unload was loaded by a copy of its load
+    // order that a restarted runner did not know.
+    fn unload_again(&mut self) {
+        let back: Vec<_> = self
+            .view
+            .replicas
+            .values()
+            .filter(|placed| {
+                let unload = placed.row.unload.as_deref();
+                let seen = fresh(self.view, &placed.row.runner);
+                unload.zip(seen).is_some_and(|(unload, seen)| {
+                    seen.has_finished(unload) && seen.resident(&placed.row.replica).is_some()
+                })
+            })
+            .map(|placed| placed.row.replica.clone())
+            .collect();
+        for replica in back {
+            self.unload(&replica);
+        }
+    }
+
     fn is_overdue(&self, placed: &Placed) -> bool {
         let Some(model) = self.view.document.models.get(&placed.row.model) else {
             return false;
@@ -232,7 +270,7 @@
 
     fn has_failed(&self, placed: &Placed) -> bool {
         fresh(self.view, &placed.row.runner).is_some_and(|seen| {
-            seen.resident(&placed.row.replica).is_none() && seen.has_finished(&placed.row.order)
+            seen.resident(&placed.row.replica).is_none() && seen.has_finished(&placed.row.load)
         })
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 
 /// Longest wait for something that is bound to happen.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A process that is killed when dropped.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -58,6 +58,7 @@
     fence: id::Fencing,
     sequence: u64,
     replicas: BTreeMap<id::Replica, Loaded>,
+    accepted: VecDeque<id::Order>,
     orders: VecDeque<id::Order>,
     leaving: bool,
     count: Count,
@@ -84,6 +85,7 @@
             fence: 0,
             sequence: 0,
             replicas: BTreeMap::new(),
+            accepted: VecDeque::new(),
             orders: VecDeque::new(),
             leaving: false,
             count: Count::default(),
@@ -94,6 +96,7 @@
     pub fn restart(&mut self, incarnation: impl Into<String>) {
         self.incarnation = incarnation.into();
         self.replicas.clear();
+        self.accepted.clear();
         self.orders.clear();
         self.fence = 0;
     }
@@ -165,8 +168,9 @@
             }
             self.fence = order.fencing;
         }
-        if !self.orders.contains(&order.order) {
+        if !self.accepted.contains(&order.order) {
             self.carry_out(order, now)?;
+            remember(&mut self.accepted, &order.order);
         }
         Ok(Receipt {
             order: order.order.clone(),
@@ -203,9 +207,7 @@
                 self.load(order, now);
                 return Ok(());
             }
-            Action::Unload => {
-                self.replicas.remove(&order.replica);
-            }
+            Action::Unload => self.unload(order),
             Action::LoadAdapter => self.load_adapter(order)?,
             Action::UnloadAdapter => {
                 let adapter = order.adapter.as_deref().unwrap_or_default();
@@ -215,7 +217,7 @@
             }
             Action::Fence => {}
         }
-        self.remember(&order.order);
+        remember(&mut self.orders, &order.order);
         Ok(())
     }
 
@@ -243,6 +245,16 @@
         self.note_memory();
     }
 
+    // A load that is cut short counts as finished.
+    fn unload(&mut self, order: &Order) {
+        let Some(loaded) = self.replicas.remove(&order.replica) else {
+            return;
+        };
+        if !self.orders.contains(&loaded.order) {
+            remember(&mut self.orders, &loaded.order);
+        }
+    }
+
     fn load_adapter(&mut self, order: &Order) -> Result<(), Refusal> {
         let adapter = order.adapter.clone().unwrap_or_default();
         let loaded = self
@@ -282,15 +294,15 @@
             .filter(|order| !self.orders.contains(order))
             .collect();
         for order in finished {
-            self.remember(&order);
+            remember(&mut self.orders, &order);
         }
     }
+}
 
-    fn remember(&mut self, order: &str) {
-        self.orders.push_back(order.to_owned());
-        if self.orders.len() > REMEMBERED_ORDERS {
-            self.orders.pop_front();
-        }
+fn remember(orders: &mut VecDeque<id::Order>, order: &str) {
+    orders.push_back(order.to_owned());
+    if orders.len() > REMEMBERED_ORDERS {
+        orders.pop_front();
     }
 }
 
