Documents, whole answers, security and bad input under failure

Cause: the promises on documents, whole answers in time and access had no tests; routing looked at every replica of a target for each choice.

A choice now looks at a window of 16 replicas that the prompt's beginning gives, and at further windows only if none in it has room.

Also mended: the stand-in's pauses of no length took up to 2 ms of timer ticks.

--- /dev/null
+++ b/crates/control/tests/budgets.rs
@@ -0,0 +1,139 @@
+//! Limits that hold for every sequence of requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use almondbank_control::adapter::{Grant, MAX_IN_FLIGHT, Place, Pools};
+use almondbank_control::budget::Budget;
+use almondbank_control::{credit, idle};
+use quickcheck::{Gen, QuickCheck};
+
+const CASES: u64 = 500;
+const SEED: u64 = 11;
+
+fn quickcheck() -> QuickCheck {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, SEED))
+        .tests(CASES)
+}
+
+fn place(n: u8) -> Place {
+    Place {
+        replica: format!("replica-{}", n % 3),
+        adapter: format!("adapter-{}", n / 3),
+    }
+}
+
+// Each step asks for an adapter, or ends one of the loads or unloads.
+fn pools_hold(steps: Vec<(u8, u8)>) -> bool {
+    const POOL: u64 = 20;
+    let mut pools = Pools::default();
+    let mut loading = Vec::new();
+    let mut unloading = Vec::new();
+    let mut now = Duration::ZERO;
+    for (kind, n) in steps {
+        now += Duration::from_millis(300);
+        match kind % 5 {
+            0..=2 => match pools.request(&place(n), u64::from(n % 4) + 1, POOL, now) {
+                Grant::Load => loading.push(place(n)),
+                Grant::Evict(adapter) => unloading.push(Place {
+                    replica: place(n).replica,
+                    adapter,
+                }),
+                _ => {}
+            },
+            3 => {
+                if let Some(place) = loading.pop() {
+                    let outcomes = [Some(true), Some(true), Some(false), None];
+                    pools.loaded(&place, outcomes[usize::from(n) % outcomes.len()]);
+                }
+            }
+            _ => {
+                if let Some(place) = unloading.pop() {
+                    pools.unloaded(&place);
+                }
+            }
+        }
+        let overcommitted = (0..3).any(|n| pools.used_bytes(&place(n).replica) > POOL);
+        if overcommitted || pools.in_flight() > MAX_IN_FLIGHT {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn pools_and_loads_in_flight_stay_within_bounds() {
+    quickcheck().quickcheck(pools_hold as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn no_more_than_32_adapters_load_at_once() {
+    let mut pools = Pools::default();
+    let grants = (0..100)
+        .map(|n| Place {
+            replica: format!("replica-{n}"),
+            adapter: "adapter".to_owned(),
+        })
+        .filter(|place| pools.request(place, 1, 10, Duration::ZERO) == Grant::Load)
+        .count();
+    assert_eq!(grants, 32);
+}
+
+fn credits_hold(slots: u16, demand: Vec<u16>) -> bool {
+    let demand: BTreeMap<_, _> = (0..)
+        .zip(demand.into_iter().take(50))
+        .map(|(n, weight): (u32, u16)| (format!("entry-{n}"), u64::from(weight)))
+        .collect();
+    let count = u32::try_from(demand.len()).unwrap_or(0);
+    let slots = u32::from(slots);
+    let shares = credit::split(slots, &demand);
+    let total: u32 = shares.values().sum();
+    let expected = if count == 0 { 0 } else { slots.max(count) };
+    total == expected && shares.values().all(|share| *share >= 1)
+}
+
+#[test]
+fn credits_add_up_to_the_slots_and_leave_nobody_without() {
+    quickcheck().quickcheck(credits_hold as fn(u16, Vec<u16>) -> bool);
+}
+
+fn budget_holds(steps: Vec<(u8, u8)>) -> bool {
+    let (slots, per_second) = (4, 1.6);
+    let mut budget = Budget::new(slots, per_second);
+    let mut now = Duration::ZERO;
+    let mut running: u32 = 0;
+    let mut begun = 0.0;
+    for (elapsed, ended) in steps {
+        now += Duration::from_millis(u64::from(elapsed) * 10);
+        running = running.saturating_sub(u32::from(ended % 3));
+        budget.refill(now);
+        if budget.take(running) {
+            running += 1;
+            begun += 1.0;
+        }
+        if running > slots || begun > f64::from(slots) + now.as_secs_f64() * per_second + 1e-6 {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn the_weight_store_is_asked_within_its_budget() {
+    quickcheck().quickcheck(budget_holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+fn window_holds(gaps: Vec<u16>) -> bool {
+    let mut history = idle::History::default();
+    for gap in gaps {
+        history.record(Duration::from_secs(u64::from(gap)));
+    }
+    let window = history.window();
+    window.prewarm < window.keep_alive && window.keep_alive <= Duration::from_hours(5)
+}
+
+#[test]
+fn a_keep_alive_window_is_sound() {
+    quickcheck().quickcheck(window_holds as fn(Vec<u16>) -> bool);
+}
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -71,11 +71,18 @@
         }
         Outcome::Failed(_) => return outcome,
     };
-    let recorder = Arc::clone(node);
-    node.calls.spawn(async move {
-        let until = recorder.clock.now() + RECORD_TIMEOUT;
-        let _ = commit::settle(&*recorder.table, &*recorder.clock, &record, until).await;
+    let writer = Arc::clone(node);
+    let recorded = node.calls.spawn(async move {
+        let until = writer.clock.now() + RECORD_TIMEOUT;
+        let _ = commit::settle(&*writer.table, &*writer.clock, &record, until).await;
     });
+    // The caller hears the answer once other instances can find it, unless the
+    // table holds it up.
+    let wait = deadline.saturating_sub(node.clock.now());
+    tokio::select! {
+        _ = recorded => {}
+        () = node.clock.sleep(wait) => {}
+    }
     outcome
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -60,6 +60,7 @@
             peers: local(&peers, settings.peers_listen)?,
         };
         let node = Arc::new(node(settings, clock, addresses)?);
+        log::info!("{} starts", node.incarnation);
         let acceptor =
             TcpAcceptor::try_from(callers).map_err(|error| Code::Bind(addresses.callers, error))?;
         let http = server::new(&node, acceptor);
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -20,7 +20,7 @@
 use crate::ejection::Ejections;
 use crate::floors::Floors;
 use crate::prefix::{self, Prefix};
-use crate::routing::{self, Load, Table};
+use crate::routing::{self, Load, Route, Table};
 
 const OVERDRAFT_DIVISOR: u32 = 4;
 const HEADROOM_DIVISOR: u32 = 10;
@@ -239,8 +239,7 @@
     #[must_use]
     pub fn route(&self, target: &Target, replica: &str) -> Option<routing::Route> {
         let state = self.state.lock();
-        let mut replicas = state.table.replicas(target).iter();
-        replicas.find(|route| route.replica == replica).cloned()
+        state.table.find(target, replica).cloned()
     }
 
     /// Replicas of `target` that take work.
@@ -395,16 +394,21 @@
     fn place(&mut self, request: &Request, only: Option<&str>, now: Duration) -> Option<Slot> {
         let seen_by = self.prefixes.find(&request.prefix);
         let adapter = request.adapter.as_deref();
-        let candidates = self
-            .table
-            .replicas(&request.target)
-            .iter()
-            .filter(|route| route.ready)
-            .filter(|route| only.is_none_or(|runner| route.runner == runner))
-            .filter(|route| !self.ejections.is_ejected(&route.runner, now))
-            .filter(|route| self.has_room(&route.runner, request.rank))
-            .map(|route| (route, self.load(&route.runner)));
-        let route = routing::choose(candidates, &request.prefix, seen_by, adapter)?;
+        let usable = |route: &&Route| {
+            route.ready
+                && only.is_none_or(|runner| route.runner == runner)
+                && !self.ejections.is_ejected(&route.runner, now)
+                && self.has_room(&route.runner, request.rank)
+        };
+        let replicas = self.table.replicas(&request.target);
+        let seen = seen_by.and_then(|replica| self.table.find(&request.target, replica));
+        let route = routing::windows(replicas, &request.prefix).find_map(|window| {
+            let candidates = window
+                .chain(seen)
+                .filter(usable)
+                .map(|route| (route, self.load(&route.runner)));
+            routing::choose(candidates, &request.prefix, seen_by, adapter)
+        })?;
         let resident = adapter.is_none_or(|name| route.adapters.iter().any(|a| a == name));
         let slot = Slot {
             replica: route.replica.clone(),
--- a/crates/serving/src/routing.rs
+++ b/crates/serving/src/routing.rs
@@ -13,6 +13,8 @@
 /// (Mirrokni et al., "Consistent Hashing with Bounded Loads", SODA 2018).
 const BOUND_PERCENT: u32 = 125;
 const PERCENT: u32 = 100;
+/// Replicas that one choice looks at.
+const WINDOW: usize = 16;
 
 /// One replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -37,6 +39,7 @@
     targets: BTreeMap<Target, Vec<Route>>,
     runners: BTreeMap<id::Runner, Vec<Target>>,
     credits: BTreeMap<id::Runner, u32>,
+    positions: BTreeMap<id::Replica, usize>,
 }
 
 /// Load of one runner at this instance.
@@ -60,6 +63,7 @@
         self.sequence = routes.sequence;
         self.targets.clear();
         self.runners.clear();
+        self.positions.clear();
         for route in routes.replicas {
             self.insert(route);
         }
@@ -77,6 +81,14 @@
         self.targets.get(target).map_or(&[], Vec::as_slice)
     }
 
+    /// One replica of `target`.
+    #[must_use]
+    pub fn find(&self, target: &Target, replica: &str) -> Option<&Route> {
+        let position = *self.positions.get(replica)?;
+        let route = self.replicas(target).get(position)?;
+        (route.replica == replica).then_some(route)
+    }
+
     /// Targets with a ready replica on `runner`.
     #[must_use]
     pub fn targets_on(&self, runner: &str) -> &[Target] {
@@ -109,7 +121,9 @@
             let targets = self.runners.entry(route.runner.clone()).or_default();
             targets.push(target.clone());
         }
-        self.targets.entry(target).or_default().push(Route {
+        let replicas = self.targets.entry(target).or_default();
+        self.positions.insert(route.replica.clone(), replicas.len());
+        replicas.push(Route {
             replica: route.replica,
             runner: route.runner,
             ready: route.ready,
@@ -119,6 +133,24 @@
     }
 }
 
+/// Replicas in groups to choose from one after another, beginning at a place
+/// that the prompt's beginning gives.
+///
+/// A choice looks at one group as a rule, so that its cost does not grow with
+/// the number of replicas, and equal beginnings see the same group.
+pub fn windows<'a>(
+    replicas: &'a [Route],
+    prefix: &Prefix,
+) -> impl Iterator<Item = impl Iterator<Item = &'a Route> + Clone> {
+    let count = replicas.len();
+    let start = usize::try_from(prefix.head() % (count.max(1) as u64)).unwrap_or(0);
+    (0..count).step_by(WINDOW).map(move |offset| {
+        let from = start + offset;
+        let to = from + WINDOW.min(count - offset);
+        (from..to).map(move |at| &replicas[at % count])
+    })
+}
+
 /// Chooses among `candidates`, each a route and the load of its runner.
 ///
 /// A replica that has seen the prompt's beginning goes first, then one on which
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -180,7 +180,7 @@
         let priority = question["priority"].as_u64().unwrap_or(3);
         let slot = Slot::take(&self, priority, behaviour.slots).await;
         self.engine.lock().record_run(&id);
-        time::sleep(Duration::from_millis(behaviour.prefill_ms)).await;
+        pause(Duration::from_millis(behaviour.prefill_ms)).await;
         let tokens = self.tokens(&question, &behaviour);
         let answered = if behaviour.crossed {
             "crossed".to_owned()
@@ -191,7 +191,7 @@
             stream_answer(&answered, &name, tokens, &behaviour, slot)
         } else {
             let pace = Duration::from_millis(behaviour.token_ms);
-            time::sleep(pace * u32::try_from(tokens.len()).unwrap_or(0)).await;
+            pause(pace * u32::try_from(tokens.len()).unwrap_or(0)).await;
             drop(slot);
             whole_answer(&answered, &name, &tokens, &behaviour)
         };
@@ -237,6 +237,13 @@
     }
 }
 
+// A timer would round no time at all up to its next tick.
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        time::sleep(duration).await;
+    }
+}
+
 fn whole_answer(id: &str, model: &str, tokens: &[String], behaviour: &Behaviour) -> Response<Body> {
     let content = tokens.concat();
     let answer = json!({
--- /dev/null
+++ b/crates/wire/tests/parsers.rs
@@ -0,0 +1,124 @@
+//! No parser panics on any input, and mistakes come all at once.
+
+use almondbank_wire::ticket::Ticket;
+use almondbank_wire::{codec, digest, document, peer, settings};
+use quickcheck::{Gen, QuickCheck};
+
+const CASES: u64 = 500;
+const SEED: u64 = 7;
+
+fn check(property: fn(Vec<u8>) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, SEED))
+        .tests(CASES)
+        .quickcheck(property);
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn no_bytes_make_a_parser_panic() {
+    check(|bytes| {
+        let text = text(&bytes);
+        let _ = codec::decode(&bytes);
+        let _ = document::parse(&text);
+        let _ = document::fields(&text);
+        let _ = settings::parse(&text);
+        let _ = Ticket::try_from(text.as_str());
+        let _ = digest::check(&text);
+        let _ = digest::verify("secret", "nonce", &text);
+        true
+    });
+}
+
+#[test]
+fn a_message_survives_its_encoding_and_no_byte_may_be_left_over() {
+    let message = peer::Message::CallReply(peer::CallReply {
+        id: 7,
+        status: 200,
+        body: "body".to_owned(),
+        run: peer::Run::Ran,
+        code: String::new(),
+    });
+    let mut bytes = codec::encode(&message);
+    let decoded = codec::decode(&bytes).expect("a message");
+    assert_eq!(format!("{decoded:?}"), format!("{message:?}"));
+    bytes.push(0);
+    assert!(codec::decode(&bytes).is_err());
+    bytes.truncate(bytes.len() / 2);
+    assert!(codec::decode(&bytes).is_err());
+}
+
+#[test]
+fn a_document_shows_all_structural_mistakes_at_once() {
+    let text = "environment: trial\nmodles: []\nrunners:\n  - {name: r, address: x}\nmodels: 3\n";
+    let error = document::parse(text).expect_err("mistakes");
+    let paths: Vec<_> = error.findings().iter().map(|f| f.path.as_str()).collect();
+    assert!(paths.contains(&""), "{error}");
+    assert!(paths.contains(&"/models"), "{error}");
+    assert!(paths.contains(&"/runners/0"), "{error}");
+}
+
+#[test]
+fn a_document_shows_all_mistakes_of_meaning_at_once() {
+    let text = "\
+environment: trial
+ranks:
+  - {rank: 4}
+  - {rank: 2, floor_percent: 101}
+runners:
+  - {name: r, address: here, data_centre: one, memory_bytes: 10, slots: 0, checks_fencing: true}
+models:
+  - {name: a b, bytes: 1, versions: []}
+adapters:
+  - {name: t, model: none, bytes: 1}
+callers:
+  - {name: c, key_sha256: zz, grants: [{target: none, rank: 0}]}
+";
+    let error = document::parse(text).expect_err("mistakes");
+    let paths: Vec<_> = error.findings().iter().map(|f| f.path.as_str()).collect();
+    for path in [
+        "/ranks/0/rank",
+        "/ranks/1/floor_percent",
+        "/runners/0/slots",
+        "/runners/0/address",
+        "/models/0/name",
+        "/models/0/versions",
+        "/adapters/0/model",
+        "/callers/0/key_sha256",
+        "/callers/0/grants/0/target",
+        "/callers/0/grants/0/rank",
+    ] {
+        assert!(paths.contains(&path), "{path} not in {error}");
+    }
+}
+
+#[test]
+fn settings_show_all_mistakes_at_once() {
+    let text = "\
+instance: a
+environment: trial
+data_centre: one
+callers_listen: x
+peers_listen: 127.0.0.1:0
+peer_secret: short
+table: 127.0.0.1:1
+objects: 127.0.0.1:1
+roster: nowhere
+lease_ms: 1
+log: loud
+";
+    let error = settings::parse(text).expect_err("mistakes");
+    let paths: Vec<_> = error.findings().iter().map(|f| f.path.as_str()).collect();
+    for path in [
+        "/callers_listen",
+        "/peer_secret",
+        "/roster",
+        "/lease_ms",
+        "/log",
+    ] {
+        assert!(paths.contains(&path), "{path} not in {error}");
+    }
+}
