Slopes; documents and choices at the target size

A document of 27,000 adapters with a grant each was refused: the YAML library stops at 250,000 nodes. A routing choice took 9 us at 1,000 and 26 us at 10,000 runners (bound 5 us): each of 16 candidates cost five look-ups by name. A placement round took 565 ms at 10,000 runners, since each target looked through all replicas.

Also: a key in the ledger takes about 700 bytes, so the ledger's bound is now 65,536 keys (46 MB) in place of 1,048,576 (0.7 GB of a budget of 128 MB a node).

Whole routes messages of 363 bytes a runner do not scale to a shard of 588 runners; deltas are left.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -157,7 +157,11 @@
     view: &'a View<'a>,
     free: BTreeMap<&'a str, u64>,
     unloading: BTreeSet<id::Replica>,
+    /// Wanted replicas.
     by_target: BTreeMap<Target, Vec<&'a Placed>>,
+    /// All replicas, also those that are being unloaded.
+    placed: BTreeMap<Target, Vec<&'a Placed>>,
+    by_runner: BTreeMap<&'a str, Vec<&'a Placed>>,
     remote_loads: u32,
     decisions: Vec<Decision>,
 }
@@ -172,9 +176,16 @@
     fn new(view: &'a View<'a>) -> Self {
         let mut reserved: BTreeMap<&str, u64> = BTreeMap::new();
         let mut by_target: BTreeMap<Target, Vec<&Placed>> = BTreeMap::new();
+        let mut all: BTreeMap<Target, Vec<&Placed>> = BTreeMap::new();
+        let mut by_runner: BTreeMap<&str, Vec<&Placed>> = BTreeMap::new();
         let mut remote_loads = 0;
         for placed in view.replicas.values() {
             *reserved.entry(&placed.row.runner).or_default() += placed.reserved_bytes();
+            all.entry(placed.target()).or_default().push(placed);
+            by_runner
+                .entry(&placed.row.runner)
+                .or_default()
+                .push(placed);
             if !placed.is_wanted() {
                 continue;
             }
@@ -188,6 +199,8 @@
             free: free_memory(view, &reserved),
             unloading: BTreeSet::new(),
             by_target,
+            placed: all,
+            by_runner,
             remote_loads,
             decisions: Vec::new(),
         }
@@ -384,12 +397,17 @@
     // Replicas that count as decided: those on runners that have fallen silent
     // no longer help and do not hold a replacement back.
     fn held(&self, target: &Target) -> u32 {
-        let replicas = self.view.replicas.values().filter(|placed| {
-            placed.row.model == target.model
-                && placed.row.version == target.version
-                && fresh(self.view, &placed.row.runner).is_some()
-        });
-        u32::try_from(replicas.count()).unwrap_or(u32::MAX)
+        let reachable = |placed: &&&Placed| fresh(self.view, &placed.row.runner).is_some();
+        let count = self.of_target(target).iter().filter(reachable).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn of_target(&self, target: &Target) -> &[&'a Placed] {
+        self.placed.get(target).map_or(&[], Vec::as_slice)
+    }
+
+    fn of_runner(&self, runner: &str) -> &[&'a Placed] {
+        self.by_runner.get(runner).map_or(&[], Vec::as_slice)
     }
 
     fn all_ready(&self, target: &Target) -> bool {
@@ -438,11 +456,9 @@
     }
 
     fn holds(&self, runner: &str, target: &Target) -> bool {
-        self.view.replicas.values().any(|placed| {
-            placed.row.runner == runner
-                && placed.row.model == target.model
-                && placed.row.version == target.version
-        })
+        self.of_target(target)
+            .iter()
+            .any(|placed| placed.row.runner == runner)
     }
 
     fn tier(&self, runner: &str, target: &Target) -> Tier {
@@ -474,21 +490,18 @@
     }
 
     fn coming(&self, runner: &str) -> u64 {
-        self.view
-            .replicas
-            .values()
-            .filter(|placed| placed.row.runner == runner)
+        self.of_runner(runner)
+            .iter()
             .filter(|placed| !placed.is_wanted() || self.unloading.contains(&placed.row.replica))
-            .map(Placed::reserved_bytes)
+            .map(|placed| placed.reserved_bytes())
             .sum()
     }
 
     fn victims(&self, runner: &str, needed: u64, mut room: u64) -> Option<Vec<id::Replica>> {
         let mut idle: Vec<_> = self
-            .view
-            .replicas
-            .values()
-            .filter(|placed| placed.row.runner == runner && placed.is_wanted())
+            .of_runner(runner)
+            .iter()
+            .filter(|placed| placed.is_wanted())
             .filter(|placed| !self.unloading.contains(&placed.row.replica))
             .filter(|placed| is_ready(self.view, placed) && is_idle(self.view, &placed.target()))
             .collect();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -30,7 +30,7 @@
 use crate::{Result, document_task, keeper_task, listener, member_task, server};
 
 const MAX_QUEUE_BYTES: usize = 48 << 20;
-const MAX_KEYS: usize = 1 << 20;
+const MAX_KEYS: usize = 1 << 16;
 const RETRY_BURST: u32 = 100;
 /// Time for which a leaving instance goes on serving, so that callers who keep
 /// an older list of entries find another one.
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -20,7 +20,7 @@
 use crate::ejection::Ejections;
 use crate::floors::Floors;
 use crate::prefix::{self, Prefix};
-use crate::routing::{self, Load, Route, Table};
+use crate::routing::{self, Route, Runner, Table};
 
 const OVERDRAFT_DIVISOR: u32 = 4;
 const HEADROOM_DIVISOR: u32 = 10;
@@ -72,6 +72,7 @@
     pub replica: id::Replica,
     /// Runner that holds it.
     pub runner: id::Runner,
+    position: usize,
     /// Whether the requested adapter was resident on it.
     pub adapter_resident: bool,
 }
@@ -79,7 +80,6 @@
 #[derive(Debug, Default)]
 struct State {
     table: Table,
-    running: BTreeMap<id::Runner, [u32; rank::ALL.len()]>,
     queues: BTreeMap<Target, Queue>,
     floors: Floors,
     prefixes: prefix::Memory,
@@ -113,6 +113,7 @@
 struct Slot {
     replica: id::Replica,
     runner: id::Runner,
+    position: usize,
     adapter_resident: bool,
     since: Duration,
 }
@@ -196,9 +197,15 @@
         let mut state = self.state.lock();
         if answered {
             state.ejections.succeeded(runner);
+            if let Some(position) = state.table.position(runner) {
+                state.table.runner_mut(position).ejected_until = None;
+            }
         } else {
-            let total = state.table.runners().count();
-            state.ejections.failed(runner, total, now);
+            let total = state.table.runner_count();
+            let until = state.ejections.failed(runner, total, now);
+            if let Some(position) = state.table.position(runner) {
+                state.table.runner_mut(position).ejected_until = until;
+            }
         }
     }
 
@@ -253,11 +260,7 @@
     fn enter(&self, request: Request) -> Result<Entry, Problem> {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state
-            .queues
-            .entry(request.target.clone())
-            .or_default()
-            .arrivals += 1;
+        state.queue_mut(&request.target).arrivals += 1;
         if request.deadline <= now {
             return Err(Problem::not_run(Code::Deadline, "the deadline has passed"));
         }
@@ -289,6 +292,7 @@
             since: slot.since,
             replica: slot.replica,
             runner: slot.runner,
+            position: slot.position,
             adapter_resident: slot.adapter_resident,
         }
     }
@@ -306,7 +310,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         state.finish(permit, now);
-        let deliveries = state.dispatch(&permit.runner, now);
+        let deliveries = state.dispatch(permit.position, now);
         drop(state);
         self.deliver(deliveries);
     }
@@ -347,6 +351,14 @@
 }
 
 impl State {
+    // Copies the name only for a target that is new.
+    fn queue_mut(&mut self, target: &Target) -> &mut Queue {
+        if !self.queues.contains_key(target) {
+            self.queues.insert(target.clone(), Queue::default());
+        }
+        self.queues.get_mut(target).expect("it was just inserted")
+    }
+
     fn has_waiter_before(&self, request: &Request) -> bool {
         let Some(queue) = self.queues.get(&request.target) else {
             return false;
@@ -360,26 +372,13 @@
                 .is_some_and(|first| first.deadline <= request.deadline)
     }
 
-    fn load(&self, runner: &str) -> Load {
-        Load {
-            running: self
-                .running
-                .get(runner)
-                .map_or(0, |ranks| ranks.iter().sum()),
-            slots: self.table.credit(runner),
-        }
-    }
-
     // The most urgent rank may overdraw while less urgent work holds more slots
     // than its floors, since runners honour priorities; less urgent ranks leave
     // it some headroom unless they are below their floor.
-    fn has_room(&self, runner: &str, rank: Rank) -> bool {
-        let load = self.load(runner);
+    fn has_room(&self, runner: &Runner, rank: Rank) -> bool {
+        let load = runner.load();
         if rank == Rank::First {
-            let lower = self
-                .running
-                .get(runner)
-                .map_or(0, |ranks| ranks[1..].iter().sum::<u32>());
+            let lower: u32 = runner.running[1..].iter().sum();
             let beyond = lower.saturating_sub(self.floor_slots(load.slots));
             let overdraft = (load.slots / OVERDRAFT_DIVISOR).max(1).min(beyond);
             return load.running < load.slots + overdraft;
@@ -404,14 +403,15 @@
     }
 
     // Takes a slot for the request, on `only` if that is given.
-    fn place(&mut self, request: &Request, only: Option<&str>, now: Duration) -> Option<Slot> {
+    fn place(&mut self, request: &Request, only: Option<usize>, now: Duration) -> Option<Slot> {
         let seen_by = self.prefixes.find(&request.prefix);
         let adapter = request.adapter.as_deref();
         let usable = |route: &&Route| {
+            let runner = self.table.runner(route.position);
             route.ready
-                && only.is_none_or(|runner| route.runner == runner)
-                && !self.ejections.is_ejected(&route.runner, now)
-                && self.has_room(&route.runner, request.rank)
+                && only.is_none_or(|position| route.position == position)
+                && !runner.is_ejected(now)
+                && self.has_room(runner, request.rank)
         };
         let replicas = self.table.replicas(&request.target);
         let seen = seen_by.and_then(|replica| self.table.find(&request.target, replica));
@@ -419,13 +419,14 @@
             let candidates = window
                 .chain(seen)
                 .filter(usable)
-                .map(|route| (route, self.load(&route.runner)));
+                .map(|route| (route, self.table.runner(route.position).load()));
             routing::choose(candidates, &request.prefix, seen_by, adapter)
         })?;
         let resident = adapter.is_none_or(|name| route.adapters.iter().any(|a| a == name));
         let slot = Slot {
             replica: route.replica.clone(),
             runner: route.runner.clone(),
+            position: route.position,
             adapter_resident: resident,
             since: now,
         };
@@ -434,20 +435,20 @@
     }
 
     fn start(&mut self, slot: &Slot, request: &Request, now: Duration) {
-        let ranks = self.running.entry(slot.runner.clone()).or_default();
-        ranks[request.rank.index()] += 1;
+        let runner = self.table.runner_mut(slot.position);
+        runner.running[request.rank.index()] += 1;
         self.floors.start(request.rank, now);
         self.prefixes.note(&request.prefix, &slot.replica);
-        let queue = self.queues.entry(request.target.clone()).or_default();
-        queue.running += 1;
+        if let Some(queue) = self.queues.get_mut(&request.target) {
+            queue.running += 1;
+        }
     }
 
     fn finish(&mut self, permit: &Permit, now: Duration) {
         let held = now.saturating_sub(permit.since);
-        if let Some(ranks) = self.running.get_mut(&permit.runner) {
-            let count = &mut ranks[permit.rank.index()];
-            *count = count.saturating_sub(1);
-        }
+        let runner = self.table.runner_mut(permit.position);
+        let count = &mut runner.running[permit.rank.index()];
+        *count = count.saturating_sub(1);
         self.floors.finish(permit.rank, held, now);
         if let Some(queue) = self.queues.get_mut(&permit.target) {
             queue.running = queue.running.saturating_sub(1);
@@ -486,32 +487,30 @@
     }
 
     fn dispatch_all(&mut self, now: Duration) -> Vec<Delivery> {
-        let runners: Vec<_> = self.table.runners().cloned().collect();
-        runners
-            .iter()
-            .flat_map(|runner| self.dispatch(runner, now))
+        (0..self.table.runner_count())
+            .flat_map(|position| self.dispatch(position, now))
             .collect()
     }
 
     // Fills the free slots of one runner from the queues of its targets.
-    fn dispatch(&mut self, runner: &str, now: Duration) -> Vec<Delivery> {
+    fn dispatch(&mut self, position: usize, now: Duration) -> Vec<Delivery> {
         let mut deliveries = Vec::new();
-        while let Some(delivery) = self.dispatch_one(runner, now) {
+        while let Some(delivery) = self.dispatch_one(position, now) {
             deliveries.push(delivery);
         }
         deliveries
     }
 
-    fn dispatch_one(&mut self, runner: &str, now: Duration) -> Option<Delivery> {
-        if self.waiting == 0 || self.ejections.is_ejected(runner, now) {
+    fn dispatch_one(&mut self, position: usize, now: Duration) -> Option<Delivery> {
+        if self.waiting == 0 || self.table.runner(position).is_ejected(now) {
             return None;
         }
         self.floors.order().into_iter().find_map(|rank| {
-            let (target, place) = self.first_waiter(runner, rank)?;
+            let (target, place) = self.first_waiter(position, rank)?;
             let request = self.queues[&target].ranks[rank.index()][&place]
                 .request
                 .clone();
-            let slot = self.place(&request, Some(runner), now)?;
+            let slot = self.place(&request, Some(position), now)?;
             let waiter = self.remove(&target, rank, place)?;
             Some(Delivery {
                 sender: waiter.sender,
@@ -522,9 +521,9 @@
         })
     }
 
-    fn first_waiter(&self, runner: &str, rank: Rank) -> Option<(Target, Place)> {
+    fn first_waiter(&self, position: usize, rank: Rank) -> Option<(Target, Place)> {
         self.table
-            .targets_on(runner)
+            .targets_on(position)
             .iter()
             .filter_map(|target| {
                 let queue = self.queues.get(target)?;
@@ -554,7 +553,7 @@
         let queue = self.queues.get(&request.target)?;
         let slots: u32 = replicas
             .iter()
-            .map(|route| self.table.credit(&route.runner))
+            .map(|route| self.table.runner(route.position).slots)
             .sum();
         let slots = f64::from(slots.max(1));
         let own = queue.length(request.rank);
--- a/crates/serving/src/ejection.rs
+++ b/crates/serving/src/ejection.rs
@@ -32,7 +32,9 @@
     ///
     /// Ejects it for a bounded time after several in a row, unless a third of
     /// the runners are ejected already.
-    pub fn failed(&mut self, runner: &str, total: usize, now: Duration) {
+    ///
+    /// Returns until when it is ejected, if it is.
+    pub fn failed(&mut self, runner: &str, total: usize, now: Duration) -> Option<Duration> {
         let ejected = self
             .runners
             .keys()
@@ -45,6 +47,7 @@
             health.until = Some(now + EJECTION);
             health.failures = FAILURES_TO_EJECT - 1;
         }
+        health.until
     }
 
     /// Whether `runner` gets no work now.
--- a/crates/serving/src/routing.rs
+++ b/crates/serving/src/routing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondbank_control::demand::Target;
-use almondbank_wire::{id, peer};
+use almondbank_wire::{id, peer, rank};
 
 use crate::prefix::Prefix;
 
@@ -23,6 +23,8 @@
     pub replica: id::Replica,
     /// Runner that holds it.
     pub runner: id::Runner,
+    /// Position of the runner in the table.
+    pub position: usize,
     /// Whether it takes work.
     pub ready: bool,
     /// Estimated time until it does.
@@ -37,11 +39,43 @@
     fencing: id::Fencing,
     sequence: u64,
     targets: BTreeMap<Target, Vec<Route>>,
-    runners: BTreeMap<id::Runner, Vec<Target>>,
-    credits: BTreeMap<id::Runner, u32>,
+    runners: Vec<Runner>,
+    names: BTreeMap<id::Runner, usize>,
     positions: BTreeMap<id::Replica, usize>,
 }
 
+/// One runner, as this instance uses it.
+#[derive(Clone, Debug, Default)]
+pub struct Runner {
+    /// Name.
+    pub name: id::Runner,
+    /// Requests that this instance may run on it.
+    pub slots: u32,
+    /// Requests of this instance at work on it, by rank.
+    pub running: [u32; rank::ALL.len()],
+    /// When it may get work again, after it was ejected.
+    pub ejected_until: Option<Duration>,
+    /// Targets with a ready replica on it.
+    targets: Vec<Target>,
+}
+
+impl Runner {
+    /// Requests at work and allowed.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running.iter().sum(),
+            slots: self.slots,
+        }
+    }
+
+    /// Whether it gets no work now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Duration) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+}
+
 /// Load of one runner at this instance.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -62,16 +96,18 @@
         self.fencing = routes.fencing;
         self.sequence = routes.sequence;
         self.targets.clear();
-        self.runners.clear();
         self.positions.clear();
+        for runner in &mut self.runners {
+            runner.slots = 0;
+            runner.targets.clear();
+        }
+        for credit in routes.credits {
+            let position = self.position_or_insert(&credit.runner);
+            self.runners[position].slots = credit.slots;
+        }
         for route in routes.replicas {
             self.insert(route);
         }
-        self.credits = routes
-            .credits
-            .into_iter()
-            .map(|credit| (credit.runner, credit.slots))
-            .collect();
         true
     }
 
@@ -89,21 +125,33 @@
         (route.replica == replica).then_some(route)
     }
 
-    /// Targets with a ready replica on `runner`.
+    /// Targets with a ready replica on a runner.
+    #[must_use]
+    pub fn targets_on(&self, position: usize) -> &[Target] {
+        &self.runners[position].targets
+    }
+
+    /// Number of runners that have been named.
     #[must_use]
-    pub fn targets_on(&self, runner: &str) -> &[Target] {
-        self.runners.get(runner).map_or(&[], Vec::as_slice)
+    pub fn runner_count(&self) -> usize {
+        self.runners.len()
     }
 
-    /// Runners with a ready replica.
-    pub fn runners(&self) -> impl Iterator<Item = &id::Runner> {
-        self.runners.keys()
+    /// Position of a runner; it does not change while the process lives.
+    #[must_use]
+    pub fn position(&self, runner: &str) -> Option<usize> {
+        self.names.get(runner).copied()
     }
 
-    /// Requests that this instance may run on `runner`.
+    /// The runner at a position.
     #[must_use]
-    pub fn credit(&self, runner: &str) -> u32 {
-        self.credits.get(runner).copied().unwrap_or(0)
+    pub fn runner(&self, position: usize) -> &Runner {
+        &self.runners[position]
+    }
+
+    /// The runner at a position, to be changed.
+    pub fn runner_mut(&mut self, position: usize) -> &mut Runner {
+        &mut self.runners[position]
     }
 
     /// Fencing number of the keeper that the view is from.
@@ -112,20 +160,34 @@
         self.fencing
     }
 
+    fn position_or_insert(&mut self, runner: &str) -> usize {
+        if let Some(position) = self.names.get(runner) {
+            return *position;
+        }
+        let position = self.runners.len();
+        self.names.insert(runner.to_owned(), position);
+        self.runners.push(Runner {
+            name: runner.to_owned(),
+            ..Runner::default()
+        });
+        position
+    }
+
     fn insert(&mut self, route: peer::Route) {
+        let position = self.position_or_insert(&route.runner);
         let target = Target {
             model: route.model,
             version: route.version,
         };
         if route.ready {
-            let targets = self.runners.entry(route.runner.clone()).or_default();
-            targets.push(target.clone());
+            self.runners[position].targets.push(target.clone());
         }
         let replicas = self.targets.entry(target).or_default();
         self.positions.insert(route.replica.clone(), replicas.len());
         replicas.push(Route {
             replica: route.replica,
             runner: route.runner,
+            position,
             ready: route.ready,
             ready_in: Duration::from_millis(route.ready_in_ms),
             adapters: route.adapters,
--- a/crates/wire/src/yaml.rs
+++ b/crates/wire/src/yaml.rs
@@ -10,6 +10,11 @@
 use crate::error::Code;
 use crate::{Result, finding};
 
+/// Nodes of a document; one of 27,000 adapters with a grant each has 400,000.
+const MAX_NODES: usize = 2_000_000;
+/// Events that the parser makes of a document.
+const MAX_EVENTS: usize = 2 * MAX_NODES;
+
 /// Parses `text` as YAML, checks it against `schema` and converts it.
 ///
 /// # Errors
@@ -17,8 +22,14 @@
 /// Fails if the text is not YAML, or with all places in which it departs from
 /// the schema.
 pub(crate) fn parse<T: DeserializeOwned>(text: &str, schema: &str) -> Result<T> {
-    let value: Value =
-        serde_saphyr::from_str(text).map_err(|error| Code::Yaml(error.to_string()))?;
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_nodes: MAX_NODES,
+            max_events: MAX_EVENTS,
+        },
+    };
+    let value: Value = serde_saphyr::from_str_with_options(text, options)
+        .map_err(|error| Code::Yaml(error.to_string()))?;
     let findings = check(&value, schema)?;
     if !findings.is_empty() {
         return Err(Code::Findings(findings).into());
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -122,3 +122,35 @@
         assert!(paths.contains(&path), "{path} not in {error}");
     }
 }
+
+// The size of the letter's target: 27,000 adapters, each granted to a caller.
+#[test]
+fn a_document_of_the_target_size_is_read() {
+    use std::fmt::Write;
+
+    let mut text = "environment: production\nmodels:\n".to_owned();
+    for at in 0..570 {
+        let _ = writeln!(
+            text,
+            "  - {{name: model-{at}, bytes: 10, adapter_pool_bytes: 10, versions: [v1, v2]}}"
+        );
+    }
+    text.push_str("adapters:\n");
+    for at in 0..27_000 {
+        let model = at % 570;
+        let _ = writeln!(
+            text,
+            "  - {{name: adapter-{at}, model: model-{model}, bytes: 1}}"
+        );
+    }
+    let key = "0".repeat(64);
+    let _ = writeln!(
+        text,
+        "callers:\n  - name: studio\n    key_sha256: \"{key}\"\n    grants:"
+    );
+    for at in 0..27_000 {
+        let _ = writeln!(text, "      - {{target: adapter-{at}, rank: 1}}");
+    }
+    let document = document::parse(&text).expect("the document is valid");
+    assert_eq!(document.adapters.len(), 27_000);
+}
