Frozen runners and silent connections

A frozen runner's kernel goes on to acknowledge, so the connection tells nothing.

Ruled out: a shorter wait for the first byte, which would also end long prefills of rank 3.

Change: the keeper drops a runner from the routes after 3 s without a report; a request without a first byte then goes to another replica. Replicas that take no new work stay in the routes as not ready, so that requests at a leaving runner end there. Connections are probed after 2 s without traffic and broken off after 5 s without acknowledgement, by the HTTP library's socket options. A leaving runner is now tested by its report, by the roster and by an operator's drain.

Conclusion: frozen runners are covered. A middlebox that drops packets cannot be made on loopback without tools that we do not use; the probes are not tested.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -167,6 +167,9 @@
     }
 
     /// The view of the shard that instances route by.
+    ///
+    /// Replicas that take no new work are in it while their runner answers, so
+    /// that requests that are there already are left to end.
     #[must_use]
     pub fn routes(
         &self,
@@ -176,12 +179,12 @@
         let now = self.clock.now();
         self.replicas
             .values()
-            .filter(|placed| placed.is_wanted())
             .filter_map(|placed| {
                 let seen = observations.get(&placed.row.runner)?;
-                if !seen.is_fresh(now) || seen.report.leaving {
+                if !seen.is_fresh(now) {
                     return None;
                 }
+                let takes_work = placed.is_wanted() && !seen.report.leaving;
                 let resident = seen.resident(&placed.row.replica);
                 let adapters = resident.map_or_else(Vec::new, |r| r.adapters.clone());
                 Some(peer::Route {
@@ -189,7 +192,7 @@
                     model: placed.row.model.clone(),
                     version: placed.row.version.clone(),
                     runner: placed.row.runner.clone(),
-                    ready: seen.is_ready(&placed.row.replica),
+                    ready: takes_work && seen.is_ready(&placed.row.replica),
                     ready_in_ms: audit::millis(remaining(document, placed, now)),
                     adapters,
                 })
--- a/crates/control/tests/budgets.rs
+++ b/crates/control/tests/budgets.rs
@@ -135,7 +135,10 @@
 
 // The window costs no more than any fixed keep-alive would have cost on the
 // recorded gaps, to within the width of a bin for each.
-#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes owned values")]
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes owned values"
+)]
 fn window_is_cheapest(gaps: Vec<u8>) -> bool {
     let gaps: Vec<_> = gaps
         .iter()
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -198,7 +198,7 @@
         if ask_for_adapter(node, adapter, &permit.replica).await {
             return true;
         }
-        if node.gate.route(&job.target(), &permit.replica).is_none() {
+        if !node.gate.has_route(&job.target(), &permit.replica) {
             return false;
         }
         node.clock.sleep(ASK_INTERVAL).await;
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -20,6 +20,7 @@
 /// Header that carries the request's own id to the runner and back.
 const REQUEST_ID: &str = "x-request-id";
 const END_OF_STREAM: &[u8] = b"data: [DONE]";
+const ROUTE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// A request that holds a slot of a runner.
@@ -55,17 +56,17 @@
         .header(REQUEST_ID, &work.id)
         .body(Full::from(work.body.clone()))
         .map_err(|error| moved(error.to_string()))?;
-    let wait = work.deadline.saturating_sub(node.clock.now()) + node.settings.idle;
-    let answer = time::timeout(wait, node.http.send(request))
-        .await
-        .map_err(|_| broken("the runner fell silent"))?
-        .map_err(|error| match error.category() {
-            Category::NotSent => Failure::Broken(Problem::not_run(
-                Code::Unreachable,
-                "the runner could not be reached",
-            )),
-            _ => broken(error.to_string()),
-        })?;
+    let answer = tokio::select! {
+        answer = node.http.send(request) => answer,
+        () = silence(node, &work) => return Err(broken("the runner fell silent")),
+    };
+    let answer = answer.map_err(|error| match error.category() {
+        Category::NotSent => Failure::Broken(Problem::not_run(
+            Code::Unreachable,
+            "the runner could not be reached",
+        )),
+        _ => broken(error.to_string()),
+    })?;
     let (head, body) = answer.into_parts();
     let id = head.headers.get(REQUEST_ID).map(HeaderValue::as_bytes);
     if id.is_some_and(|id| id != work.id.as_bytes()) {
@@ -86,6 +87,19 @@
     }
 }
 
+// Ends when the keeper has lost sight of the replica, or when the answer is
+// overdue by the time that a stream may be silent.
+async fn silence(node: &Node, work: &Work) {
+    let overdue = work.deadline + node.settings.idle;
+    let mut seen = true;
+    while seen && node.clock.now() < overdue {
+        node.clock.sleep(ROUTE_CHECK_INTERVAL).await;
+        seen = node
+            .gate
+            .has_route(work.permit.target(), &work.permit.replica);
+    }
+}
+
 async fn whole_answer(node: &Node, body: Incoming, response: &mut Response) -> Result<(), Failure> {
     let bytes = collect(node, body).await?;
     reply::text(response, 200, bytes);
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -6,6 +6,7 @@
 
 use almondbank_standin::fixture::Model;
 use almondbank_standin::runner::Behaviour;
+use nix::sys::signal::Signal;
 use serde_json::json;
 use support::{BOTH_KINDS, Cluster, caller};
 
@@ -153,6 +154,35 @@
     assert!(start.elapsed() < Duration::from_secs(10));
 }
 
+// A frozen runner keeps its connections open and its kernel goes on to
+// acknowledge what is sent to it.
+#[tokio::test]
+async fn requests_at_a_frozen_runner_are_answered_by_another() {
+    let cluster = Cluster::start(2, &BOTH_KINDS, "");
+    let mut model = Model::new("chatter", 100);
+    model.rank = 2;
+    cluster.apply(&[model]).await;
+    warm(&cluster).await;
+    let on = usize::from(cluster.count(0).await.loads == 0);
+    cluster.runners[on].signal(Signal::SIGSTOP);
+    let body = json!({"model": "chatter", "messages": [{"role": "user", "content": "hello"}]});
+    let start = Instant::now();
+    let answer = caller()
+        .post(
+            cluster.entry(0),
+            "/v1/chat/completions",
+            &[("x-deadline-ms", "15000")],
+            &body,
+        )
+        .await
+        .expect("a whole answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert!(answer.content().starts_with(&format!("runner-{}:", 1 - on)));
+    assert!(start.elapsed() < Duration::from_secs(15));
+    cluster.runners[on].signal(Signal::SIGCONT);
+    cluster.assert_memory().await;
+}
+
 #[tokio::test]
 async fn a_flood_is_served_or_refused_in_time() {
     let cluster = Cluster::start(2, &BOTH_KINDS[..1], "max_queue: 50\n");
--- a/crates/daemon/tests/keeper.rs
+++ b/crates/daemon/tests/keeper.rs
@@ -163,29 +163,52 @@
     assert_eq!(cluster.count(1 - loading).await.loads, 1);
 }
 
+enum Notice {
+    Report,
+    Roster,
+    Drain,
+}
+
+async fn leave(cluster: &Cluster, runner: usize, notice: &Notice) {
+    let name = cluster.layout[runner].name.clone();
+    match notice {
+        Notice::Report => {
+            let leaving = Behaviour {
+                leaving: true,
+                ..Behaviour::default()
+            };
+            cluster.runner_behaviour(runner, &leaving).await;
+        }
+        Notice::Roster => {
+            let faults = Faults {
+                leaving: vec![name],
+                ..Faults::default()
+            };
+            cluster.faults(&faults).await;
+        }
+        Notice::Drain => {
+            let arguments = ["drain", name.as_str(), "--environment", "production"];
+            assert!(cluster.ctl(0, &arguments).status.success());
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_leaving_runner_gets_no_new_work() {
-    let cluster = Cluster::start(2, &BOTH_KINDS, LEASE);
-    cluster.apply(&models(1)).await;
-    assert_answered(&cluster, 0, "model-0").await;
-    let mut held = 0;
-    for at in 0..2 {
-        if cluster.count(at).await.loads > 0 {
-            held = at;
+    for notice in [Notice::Report, Notice::Roster, Notice::Drain] {
+        let cluster = Cluster::start(2, &BOTH_KINDS, LEASE);
+        cluster.apply(&models(1)).await;
+        assert_answered(&cluster, 0, "model-0").await;
+        let held = usize::from(cluster.count(0).await.loads == 0);
+        leave(&cluster, held, &notice).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let before = cluster.count(held).await.runs.len();
+        for at in 0..6 {
+            assert_answered(&cluster, at % 2, "model-0").await;
         }
+        assert_eq!(cluster.count(held).await.runs.len(), before);
+        assert_eq!(cluster.count(1 - held).await.loads, 1);
     }
-    let leaving = Behaviour {
-        leaving: true,
-        ..Behaviour::default()
-    };
-    cluster.runner_behaviour(held, &leaving).await;
-    tokio::time::sleep(Duration::from_secs(3)).await;
-    let before = cluster.count(held).await.runs.len();
-    for at in 0..6 {
-        assert_answered(&cluster, at % 2, "model-0").await;
-    }
-    assert_eq!(cluster.count(held).await.runs.len(), before);
-    assert_eq!(cluster.count(1 - held).await.loads, 1);
 }
 
 #[tokio::test]
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -17,6 +17,11 @@
 use crate::error::Code;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+#[cfg(target_os = "linux")]
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_IDLE_PER_HOST: usize = 256;
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -161,5 +166,12 @@
     let mut connector = connect::HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
+    // A connection of which something in between has lost track is found by
+    // probes while it is idle, and by missing acknowledgements while it is not.
+    connector.set_keepalive(Some(KEEPALIVE_IDLE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT));
     connector
 }
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -199,6 +199,12 @@
         state.table.find(target, replica).cloned()
     }
 
+    /// Whether the keeper sees one replica, taking work or not.
+    #[must_use]
+    pub fn has_route(&self, target: &Target, replica: &str) -> bool {
+        self.state.lock().table.find(target, replica).is_some()
+    }
+
     /// Replicas of `target` that take work.
     #[must_use]
     pub fn ready(&self, target: &Target) -> usize {
@@ -288,6 +294,14 @@
     }
 }
 
+impl Permit {
+    /// Model version that it is for.
+    #[must_use]
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let gate = Arc::clone(&self.gate);
