--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -90,17 +90,27 @@
     let cluster = Cluster::start(1, &BOTH_KINDS[..1], QUICK_IDLE);
     cluster.apply(&model()).await;
     warm(&cluster).await;
-    let cut = Behaviour {
-        cut_after: Some(2),
+    let well = Behaviour {
         tokens: 6,
         token_ms: 50,
         ..Behaviour::default()
     };
-    cluster.runner_behaviour(0, &cut).await;
-    let answer = caller()
-        .chat(cluster.entry(0), "chatter", "hello", true)
-        .await;
-    assert!(answer.is_err(), "{answer:?}");
+    let cut = Behaviour {
+        cut_after: Some(2),
+        ..well.clone()
+    };
+    // Ends like a whole stream, but without its last event.
+    let ended = Behaviour {
+        end_after: Some(2),
+        ..well
+    };
+    for behaviour in [cut, ended] {
+        cluster.runner_behaviour(0, &behaviour).await;
+        let answer = caller()
+            .chat(cluster.entry(0), "chatter", "hello", true)
+            .await;
+        assert!(answer.is_err(), "{answer:?}");
+    }
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -168,6 +168,48 @@
     }
 }
 
+// With a second back end there would be somewhere to try again.
+#[tokio::test]
+async fn a_silent_service_is_not_passed_over_for_another() {
+    let cluster = Cluster::start(1, &BOTH_KINDS, "");
+    cluster.apply(&models()).await;
+    let second = support::Process::start(&support::example("standin"), &["service".to_owned()]);
+    let addresses = [
+        cluster.service.address("address"),
+        second.address("address"),
+    ];
+    let one = format!("[\"{}\"]", addresses[0]);
+    let both = format!("[\"{}\", \"{}\"]", addresses[0], addresses[1]);
+    let document = cluster.document(&models()).replace(&one, &both);
+    let path = cluster.file("both.yaml", &document);
+    assert!(
+        cluster
+            .ctl(0, &["apply", &path, "--base", "1"])
+            .status
+            .success()
+    );
+    let cut = Behaviour {
+        cut: true,
+        ..Behaviour::default()
+    };
+    for address in addresses {
+        support::control(address, "/behaviour", &cut).await;
+    }
+    let ticket = cluster.ticket(0).await;
+    for n in 0..8 {
+        let key = format!("{ticket}/{n}");
+        let answer = book(&cluster, 0, &key).await;
+        assert_eq!(answer.json()["run"], "unknown", "{}", answer.text());
+        let mut runs = 0;
+        for address in addresses {
+            let counted = caller().get(address, "/runs").await;
+            let counted = counted.expect("the service counts").json();
+            runs += counted[&key].as_u64().unwrap_or(0);
+        }
+        assert_eq!(runs, 1, "{key}");
+    }
+}
+
 #[tokio::test]
 async fn a_late_answer_is_kept_for_the_next_call() {
     let cluster = Cluster::start(2, &BOTH_KINDS, "");
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -332,7 +332,7 @@
     }
 }
 
-async fn control(address: SocketAddr, path: &str, body: &(impl Serialize + Sync)) {
+pub async fn control(address: SocketAddr, path: &str, body: &(impl Serialize + Sync)) {
     let answer = caller().post(address, path, &[], body).await;
     assert_eq!(answer.expect("the stand-in takes orders").status, 200);
 }
@@ -342,7 +342,7 @@
     binary.parent().expect("a directory").to_owned()
 }
 
-fn example(name: &str) -> PathBuf {
+pub fn example(name: &str) -> PathBuf {
     target().join("examples").join(name)
 }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -31,6 +31,8 @@
     pub silent: bool,
     /// Answers break off after this many tokens.
     pub cut_after: Option<usize>,
+    /// Streams end after this many tokens as if they were whole.
+    pub end_after: Option<usize>,
     /// Answers bear the id of another request.
     pub crossed: bool,
     /// Tokens of an answer.
@@ -56,6 +58,7 @@
         Self {
             silent: false,
             cut_after: None,
+            end_after: None,
             crossed: false,
             tokens: 4,
             token_ms: 0,
@@ -287,6 +290,7 @@
         })
         .collect();
     events.push("data: [DONE]\n\n".to_owned());
+    events.truncate(behaviour.end_after.unwrap_or(usize::MAX));
     let frames = stream::iter(events.into_iter().enumerate()).then(move |(at, event)| {
         let _held = &slot;
         async move {
