Connections to addresses that no member has are given up

Change: a dialling task ends when its address belongs to no member and no seed; the address may be claimed again.

The end of a dialling task has no test of its own.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -20,7 +20,8 @@
 const RETRY_BASE: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
-/// Keeps a connection to the instance at `address` until `node` stops.
+/// Keeps a connection to the instance at `address` until `node` stops or no
+/// member is at that address any more.
 pub(crate) async fn run(node: Arc<Node>, address: SocketAddr) {
     let mut backoff = retry::Backoff::new(RETRY_BASE, RETRY_MAX);
     loop {
@@ -35,6 +36,10 @@
             }
             serve(&node, writer, reader, hello).await;
         }
+        if !node.peer_addresses().contains(&address) {
+            node.links.unclaim(address);
+            return;
+        }
         tokio::select! {
             () = node.stopped.cancelled() => return,
             () = node.clock.sleep(backoff.next_delay()) => {}
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -1,6 +1,7 @@
 //! Connections to the other instances, by instance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -15,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     inner: Mutex<BTreeMap<id::Instance, Arc<Link>>>,
+    dialled: Mutex<BTreeSet<SocketAddr>>,
 }
 
 /// One outgoing connection.
@@ -34,6 +36,16 @@
 }
 
 impl Links {
+    /// Claims the task of dialling `address`; false if another task has it.
+    pub(crate) fn claim(&self, address: SocketAddr) -> bool {
+        self.dialled.lock().insert(address)
+    }
+
+    /// Gives the task of dialling `address` up.
+    pub(crate) fn unclaim(&self, address: SocketAddr) {
+        self.dialled.lock().remove(&address);
+    }
+
     /// Registers a connection that was just made.
     pub(crate) fn open(
         &self,
--- a/crates/daemon/src/member_task.rs
+++ b/crates/daemon/src/member_task.rs
@@ -1,7 +1,5 @@
 //! The tasks that register this instance, find the others and tell them its usage.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,11 +19,7 @@
 
 /// Writes this instance's row, then keeps a connection to every other instance.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut dialled: BTreeSet<SocketAddr> = BTreeSet::new();
-    dialled.insert(node.peers);
-    for seed in &node.settings.seeds {
-        dial(&node, *seed, &mut dialled);
-    }
+    node.links.claim(node.peers);
     let mut registered = false;
     loop {
         if !registered {
@@ -34,8 +28,10 @@
         if let Err(error) = discover(&node).await {
             log::debug!("members not read: {error}");
         }
-        for member in node.members.all().into_values() {
-            dial(&node, member.peers, &mut dialled);
+        for address in node.peer_addresses() {
+            if node.links.claim(address) {
+                tokio::spawn(link::run(Arc::clone(&node), address));
+            }
         }
         tokio::select! {
             () = node.stopped.cancelled() => return,
@@ -45,12 +41,6 @@
     }
 }
 
-fn dial(node: &Arc<Node>, address: SocketAddr, dialled: &mut BTreeSet<SocketAddr>) {
-    if dialled.insert(address) {
-        tokio::spawn(link::run(Arc::clone(node), address));
-    }
-}
-
 async fn register(node: &Node) -> Result<()> {
     let member = row::Member {
         instance: node.settings.instance.clone(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one instance share.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -124,6 +125,13 @@
         }
     }
 
+    /// Addresses at which other instances are or may be.
+    pub(crate) fn peer_addresses(&self) -> BTreeSet<SocketAddr> {
+        let members = self.members.all().into_values();
+        let known = members.map(|member| member.peers);
+        known.chain(self.settings.seeds.iter().copied()).collect()
+    }
+
     pub(crate) fn environment(&self) -> &str {
         &self.settings.environment
     }
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -23,6 +23,16 @@
         .expect("a whole answer")
 }
 
+async fn book_within(cluster: &Cluster, at: usize, key: &str, deadline_ms: u64) -> Answer {
+    let deadline = deadline_ms.to_string();
+    let headers = [("idempotency-key", key), ("x-deadline-ms", &deadline)];
+    let path = "/v1/services/floorbook/book";
+    caller()
+        .post(cluster.entry(at), path, &headers, &booking())
+        .await
+        .expect("a whole answer")
+}
+
 async fn slow_service(cluster: &Cluster, delay_ms: u64) {
     let slow = Behaviour {
         delay_ms,
@@ -72,17 +82,8 @@
         eventually("the call runs", async || cluster.runs(&key).await == 1).await;
         cluster.daemons[1].kill();
         assert!(call.await.expect("the task ends").is_err());
-        let headers = [("idempotency-key", key.as_str()), ("x-deadline-ms", "1500")];
         for at in [0, 2] {
-            let answer = caller()
-                .post(
-                    cluster.entry(at),
-                    "/v1/services/floorbook/book",
-                    &headers,
-                    &booking(),
-                )
-                .await
-                .expect("a whole answer");
+            let answer = book_within(&cluster, at, &key, 1500).await;
             assert_eq!(answer.json()["run"], "unknown", "{}", answer.text());
         }
         // A new process under the same name does not run it either.
@@ -92,15 +93,7 @@
             answer.is_ok_and(|answer| answer.status == 200)
         })
         .await;
-        let answer = caller()
-            .post(
-                cluster.entry(1),
-                "/v1/services/floorbook/book",
-                &headers,
-                &booking(),
-            )
-            .await
-            .expect("a whole answer");
+        let answer = book_within(&cluster, 1, &key, 1500).await;
         assert_eq!(answer.json()["run"], "unknown", "{}", answer.text());
         assert_eq!(cluster.runs(&key).await, 1);
     }
@@ -151,17 +144,8 @@
     ] {
         cluster.service_behaviour(&behaviour).await;
         let key = format!("{}/{name}", cluster.ticket(0).await);
-        let headers = [("idempotency-key", key.as_str()), ("x-deadline-ms", "800")];
         for at in [0, 1] {
-            let answer = caller()
-                .post(
-                    cluster.entry(at),
-                    "/v1/services/floorbook/book",
-                    &headers,
-                    &booking(),
-                )
-                .await
-                .expect("a whole answer");
+            let answer = book_within(&cluster, at, &key, 800).await;
             assert_eq!(answer.json()["run"], "unknown", "{}", answer.text());
         }
         assert_eq!(cluster.runs(&key).await, 1);
@@ -216,16 +200,7 @@
     cluster.apply(&models()).await;
     slow_service(&cluster, 1000).await;
     let key = format!("{}/late", cluster.ticket(0).await);
-    let headers = [("idempotency-key", key.as_str()), ("x-deadline-ms", "200")];
-    let early = caller()
-        .post(
-            cluster.entry(0),
-            "/v1/services/floorbook/book",
-            &headers,
-            &booking(),
-        )
-        .await
-        .expect("a whole answer");
+    let early = book_within(&cluster, 0, &key, 200).await;
     assert_eq!(early.json()["run"], "unknown");
     let late = book(&cluster, 1, &key).await;
     assert_eq!((late.status, late.json()["run"].clone()), (200, json!(1)));
@@ -258,16 +233,7 @@
     for at in [0, 1] {
         assert_eq!(book(&cluster, at, &key).await.status, 200);
     }
-    let headers = [("idempotency-key", "plain"), ("x-deadline-ms", "500")];
-    let refused = caller()
-        .post(
-            cluster.entry(0),
-            "/v1/services/floorbook/book",
-            &headers,
-            &booking(),
-        )
-        .await
-        .expect("a whole answer");
+    let refused = book_within(&cluster, 0, "plain", 500).await;
     assert_eq!(refused.json()["code"], "table_down");
     assert_eq!(refused.json()["run"], "not_run");
     assert_eq!(cluster.runs("plain").await, 0);
@@ -301,16 +267,7 @@
     cluster.apply(&models()).await;
     let key = format!("{}/k", cluster.ticket(0).await);
     cluster.daemons[0].signal(Signal::SIGSTOP);
-    let headers = [("idempotency-key", key.as_str()), ("x-deadline-ms", "1000")];
-    let answer = caller()
-        .post(
-            cluster.entry(1),
-            "/v1/services/floorbook/book",
-            &headers,
-            &booking(),
-        )
-        .await
-        .expect("a whole answer");
+    let answer = book_within(&cluster, 1, &key, 1000).await;
     assert_eq!(answer.json()["run"], "unknown", "{}", answer.text());
     cluster.daemons[0].signal(Signal::SIGCONT);
     eventually("the instance answers again", async || {
