Prefix hits of the routing choice against other choices

The case is favourable: one request at a time, and beginnings of just one hashed chunk; under load it is not measured.

--- a/crates/daemon/examples/policy/main.rs
+++ b/crates/daemon/examples/policy/main.rs
@@ -1,12 +1,13 @@
 //! Policies against their baselines, on the real decision code; the headline
 //! rows on real daemons with stand-ins. Prints a table.
 //!
-//! `policy [cold|idle|floods|cluster]...`; without arguments, all of them.
+//! `policy [cold|idle|prefixes|floods|cluster]...`; without arguments, all of them.
 
 mod cluster;
 mod cold;
 mod floods;
 mod idle;
+mod prefixes;
 mod seeded;
 mod table;
 
@@ -25,6 +26,9 @@
     if wanted("idle") {
         rows.extend(idle::measure());
     }
+    if wanted("prefixes") {
+        rows.extend(prefixes::measure().await);
+    }
     if wanted("floods") {
         rows.extend(floods::measure().await);
     }
