Name the package of traits and clients almondbank-port

Cause: the word platform is about to mean the users' platform and the one folder that speaks to it; the old package holds the traits (ports) and the clients of the stand-ins. Ruled out: keeping both under one word. Change: a move and a rename, no behaviour. Measured: the workspace checks as before.

--- a/crates/control/src/audit.rs
+++ b/crates/control/src/audit.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
-use almondbank_platform::table::{Table, Transaction};
+use almondbank_port::clock::Clock;
+use almondbank_port::table::{Table, Transaction};
 use almondbank_wire::row;
 
 use crate::{Result, key};
--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
-use almondbank_platform::commit;
-use almondbank_platform::objects::Objects;
-use almondbank_platform::table::{ABSENT, Outcome, Table, Transaction};
+use almondbank_port::clock::Clock;
+use almondbank_port::commit;
+use almondbank_port::objects::Objects;
+use almondbank_port::table::{ABSENT, Outcome, Table, Transaction};
 use almondbank_wire::document::{self, Document};
 use almondbank_wire::{digest, id, row};
 use tokio::sync::watch;
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use almondbank_platform as platform;
+use almondbank_port as platform;
 use almondbank_wire as wire;
 use quick_error::quick_error;
 
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
-use almondbank_platform::table::Table;
+use almondbank_port::clock::Clock;
+use almondbank_port::table::Table;
 use almondbank_wire::document::Document;
 use almondbank_wire::order::{Action, Order, Tier};
 use almondbank_wire::{id, peer, row};
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
-use almondbank_platform::commit;
-use almondbank_platform::table::{ABSENT, Outcome, Row, Table, Transaction};
+use almondbank_port::clock::Clock;
+use almondbank_port::commit;
+use almondbank_port::table::{ABSENT, Outcome, Row, Table, Transaction};
 use almondbank_wire::{id, row};
 
 use crate::error::Code;
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use almondbank_platform::roster::{State, Vms};
+use almondbank_port::roster::{State, Vms};
 use almondbank_wire::{id, peer, row};
 use parking_lot::Mutex;
 
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use almondbank_platform::{Category, http};
+use almondbank_port::{Category, http};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -32,7 +32,7 @@
         Refused(refusal: Box<operator::Refusal>) {
             display("{}{}", refusal.detail, mistakes(refusal))
         }
-        Unreachable(source: almondbank_platform::Error) {
+        Unreachable(source: almondbank_port::Error) {
             display("no instance answered: {}", source)
         }
         Unexpected(status: u16) {
--- a/crates/daemon/examples/capacity.rs
+++ b/crates/daemon/examples/capacity.rs
@@ -10,7 +10,7 @@
 use almondbank_control::demand::{self, Target};
 use almondbank_control::observation::Observation;
 use almondbank_control::placement::{self, Placed, View};
-use almondbank_platform::clock::{Clock, System};
+use almondbank_port::clock::{Clock, System};
 use almondbank_serving::admission::{Gate, Limits, Request};
 use almondbank_serving::ledger::{Begin, Ledger};
 use almondbank_serving::prefix::Prefix;
--- a/crates/daemon/examples/demo.rs
+++ b/crates/daemon/examples/demo.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use almondbank::Daemon;
-use almondbank_platform::clock::{Clock, System};
+use almondbank_port::clock::{Clock, System};
 use almondbank_standin::client::Client;
 use almondbank_standin::engine::{Engine, Traits};
 use almondbank_standin::fixture::{self, Model};
--- a/crates/daemon/examples/policy/floods.rs
+++ b/crates/daemon/examples/policy/floods.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondbank_control::demand::Target;
-use almondbank_platform::clock::{Clock, System};
+use almondbank_port::clock::{Clock, System};
 use almondbank_serving::admission::{Gate, Limits, Request};
 use almondbank_serving::prefix::Prefix;
 use almondbank_wire::peer;
--- a/crates/daemon/src/adapter_task.rs
+++ b/crates/daemon/src/adapter_task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondbank_control::adapter::{Grant, LONGEST_LOAD, Place, Pools};
-use almondbank_platform::Category;
+use almondbank_port::Category;
 use almondbank_wire::order::{Action, Order};
 use almondbank_wire::{id, row};
 use tokio::sync::mpsc;
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::{Category, Error};
+use almondbank_port::{Category, Error};
 use almondbank_serving::ledger::{Answer, Begin, Outcome};
 use almondbank_wire::problem::{Code, Problem, Run};
 use almondbank_wire::{digest, peer};
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use almondbank_control::key;
-use almondbank_platform::commit;
-use almondbank_platform::table::{ABSENT, Outcome as Commit, Row, Transaction};
+use almondbank_port::commit;
+use almondbank_port::table::{ABSENT, Outcome as Commit, Row, Transaction};
 use almondbank_serving::ledger::{Answer, Outcome};
 use almondbank_wire::problem::{Code, Problem, Run};
 use almondbank_wire::{digest, row};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,10 +7,10 @@
 
 use almondbank_control::catalog::{Catalog, Registry};
 use almondbank_control::membership::{self, Members};
-use almondbank_platform::clock::Clock;
-use almondbank_platform::objects::Objects;
-use almondbank_platform::table::Table;
-use almondbank_platform::{http, objects_http, retry, roster_http, runner_http, table_http};
+use almondbank_port::clock::Clock;
+use almondbank_port::objects::Objects;
+use almondbank_port::table::Table;
+use almondbank_port::{http, objects_http, retry, roster_http, runner_http, table_http};
 use almondbank_serving::admission::{Gate, Limits};
 use almondbank_serving::ledger::Ledger;
 use almondbank_wire::settings::Settings;
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::Category;
+use almondbank_port::Category;
 use almondbank_serving::admission::Permit;
 use almondbank_wire::problem::{Code, Problem};
 use bytes::Bytes;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,7 @@
 //! ```no_run
 //! # async fn run(text: &str) -> Result<(), Box<dyn std::error::Error>> {
 //! use std::sync::Arc;
-//! use almondbank_platform::clock;
+//! use almondbank_port::clock;
 //! use almondbank_wire::settings;
 //!
 //! let settings = settings::parse(text)?;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::retry;
+use almondbank_port::retry;
 use almondbank_wire::{digest, peer};
 use tokio::net::TcpStream;
 use tokio::time;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use almondbank_platform::clock;
+use almondbank_port::clock;
 use almondbank_wire::settings;
 use getopts::Options;
 use quick_error::quick_error;
@@ -125,7 +125,7 @@
         .level_for("almondbank", level)
         .level_for("almondbank_control", level)
         .level_for("almondbank_serving", level)
-        .level_for("almondbank_platform", level)
+        .level_for("almondbank_port", level)
         .chain(std::io::stderr())
         .apply()
 }
--- a/crates/daemon/src/member_task.rs
+++ b/crates/daemon/src/member_task.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use almondbank_control::{Result, key};
-use almondbank_platform::commit;
-use almondbank_platform::table::{Row, Transaction};
+use almondbank_port::commit;
+use almondbank_port::table::{Row, Transaction};
 use almondbank_wire::row;
 
 use crate::link;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,9 +8,9 @@
 
 use almondbank_control::catalog::{Catalog, Registry};
 use almondbank_control::membership::Members;
-use almondbank_platform::clock::Clock;
-use almondbank_platform::table::Table;
-use almondbank_platform::{http, retry, roster, runner};
+use almondbank_port::clock::Clock;
+use almondbank_port::table::Table;
+use almondbank_port::{http, retry, roster, runner};
 use almondbank_serving::admission::Gate;
 use almondbank_serving::ledger::Ledger;
 use almondbank_wire::settings::Settings;
--- a/crates/daemon/src/runner_task.rs
+++ b/crates/daemon/src/runner_task.rs
@@ -7,7 +7,7 @@
 
 use almondbank_control::key;
 use almondbank_control::observation::Observation;
-use almondbank_platform::roster::State;
+use almondbank_port::roster::State;
 use almondbank_wire::id;
 use almondbank_wire::order::{Phase, Report};
 use tokio::task::JoinSet;
--- a/crates/daemon/src/tenure.rs
+++ b/crates/daemon/src/tenure.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use almondbank_control::observation::Observation;
-use almondbank_platform as platform;
-use almondbank_platform::clock::Clock;
-use almondbank_platform::runner::Runner;
+use almondbank_port as platform;
+use almondbank_port::clock::Clock;
+use almondbank_port::runner::Runner;
 use almondbank_wire::order::{Order, Receipt};
 use almondbank_wire::{id, row};
 use parking_lot::Mutex;
--- a/crates/platform/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -6,7 +6,7 @@
 //! package knows their wire format.
 //!
 //! ```
-//! use almondbank_platform::table;
+//! use almondbank_port::table;
 //!
 //! let transaction = table::Transaction::new("write-1")
 //!     .require("lease", 0)
--- a/crates/platform/tests/commit.rs
+++ b/crates/port/tests/commit.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
-use almondbank_platform::table::{ABSENT, Outcome, Table, Transaction};
-use almondbank_platform::{Category, Result, commit};
+use almondbank_port::clock::Clock;
+use almondbank_port::table::{ABSENT, Outcome, Table, Transaction};
+use almondbank_port::{Category, Result, commit};
 use almondbank_standin::manual::Manual;
 use almondbank_standin::store::{Fault, Store};
 
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use almondbank_control::demand::Target;
-use almondbank_platform::clock::Clock;
+use almondbank_port::clock::Clock;
 use almondbank_wire::problem::{Code, Problem};
 use almondbank_wire::rank::{self, Rank};
 use almondbank_wire::{id, peer};
--- a/crates/standin/examples/standin.rs
+++ b/crates/standin/examples/standin.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::System;
+use almondbank_port::clock::System;
 use almondbank_standin::engine::{Engine, Traits};
 use almondbank_standin::platform::Platform;
 use almondbank_standin::runner::{Behaviour, Runner};
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use almondbank_platform::http;
+use almondbank_port::http;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -82,7 +82,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
-    ) -> almondbank_platform::Result<Answer> {
+    ) -> almondbank_port::Result<Answer> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -92,7 +92,7 @@
         }
         let request = request
             .body(Full::new(body.into()))
-            .map_err(|_| almondbank_platform::Error::not_sent())?;
+            .map_err(|_| almondbank_port::Error::not_sent())?;
         let answer = self.http.call(request, TIMEOUT).await?;
         Ok(Answer {
             status: answer.status().as_u16(),
@@ -105,11 +105,7 @@
     /// # Errors
     ///
     /// Fails if there is no whole answer.
-    pub async fn get(
-        &self,
-        address: SocketAddr,
-        path: &str,
-    ) -> almondbank_platform::Result<Answer> {
+    pub async fn get(&self, address: SocketAddr, path: &str) -> almondbank_port::Result<Answer> {
         self.send(address, Method::GET, path, &[], "").await
     }
 
@@ -124,7 +120,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &(impl Serialize + Sync),
-    ) -> almondbank_platform::Result<Answer> {
+    ) -> almondbank_port::Result<Answer> {
         let text = serde_json::to_vec(body).unwrap_or_default();
         self.send(address, Method::POST, path, headers, text).await
     }
@@ -140,7 +136,7 @@
         model: &str,
         question: &str,
         stream: bool,
-    ) -> almondbank_platform::Result<Answer> {
+    ) -> almondbank_port::Result<Answer> {
         let body = json!({
             "model": model,
             "stream": stream,
@@ -160,7 +156,7 @@
         call: &str,
         key: &str,
         body: &Value,
-    ) -> almondbank_platform::Result<Answer> {
+    ) -> almondbank_port::Result<Answer> {
         let headers: &[(&str, &str)] = if key.is_empty() {
             &[]
         } else {
@@ -175,7 +171,7 @@
     /// # Errors
     ///
     /// Fails if there is no whole answer.
-    pub async fn ticket(&self, address: SocketAddr) -> almondbank_platform::Result<String> {
+    pub async fn ticket(&self, address: SocketAddr) -> almondbank_port::Result<String> {
         let answer = self.get(address, "/v1/entries").await?.json();
         Ok(answer["ticket"].as_str().unwrap_or_default().to_owned())
     }
--- a/crates/standin/src/manual.rs
+++ b/crates/standin/src/manual.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
+use almondbank_port::clock::Clock;
 use async_trait::async_trait;
 use tokio::sync::watch;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::table::{Outcome, Table, Transaction};
+use almondbank_port::table::{Outcome, Table, Transaction};
 use almondbank_wire::table as wire;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -183,7 +183,7 @@
     }
 }
 
-fn cell(row: almondbank_platform::table::Row) -> wire::Cell {
+fn cell(row: almondbank_port::table::Row) -> wire::Cell {
     wire::Cell {
         key: row.key,
         version: row.version,
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_platform::clock::Clock;
+use almondbank_port::clock::Clock;
 use almondbank_wire::order::{Action, Order, Report};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use almondbank_platform::table::{ABSENT, Outcome, Row, Table, Transaction};
-use almondbank_platform::{Error, Result};
+use almondbank_port::table::{ABSENT, Outcome, Row, Table, Transaction};
+use almondbank_port::{Error, Result};
 use async_trait::async_trait;
 use parking_lot::Mutex;
 
