--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -27,9 +27,10 @@
             source(source)
             display("peer connection failed: {}", source)
         }
-        Message(source: almondbank_wire::Error) {
+        Port(source: almondbank_port::Error) {
             source(source)
             display("{}", source)
+            from()
         }
         Closed {
             display("the peer closed the connection")
@@ -46,10 +47,10 @@
     }
 }
 
-impl From<Code> for Error {
-    fn from(code: Code) -> Self {
+impl<T: Into<Code>> From<T> for Error {
+    fn from(code: T) -> Self {
         Self {
-            code: Box::new(code),
+            code: Box::new(code.into()),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/json_log.rs
@@ -0,0 +1,120 @@
+//! Log lines as JSON objects on standard output.
+//!
+//! A thread writes them, so that a reader that falls behind blocks nobody: lines
+//! beyond a bounded queue are dropped, and counted in a later line.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{self, VisitSource};
+use serde_json::{Map, Value, json};
+
+use crate::Failure;
+
+/// Lines that wait to be written.
+const QUEUE: usize = 4096;
+/// Crates whose lines are written below warnings.
+const OWN: [&str; 5] = [
+    "almondbank",
+    "almondbank_control",
+    "almondbank_gateway",
+    "almondbank_platform",
+    "almondbank_port",
+];
+
+/// Sends all log lines to standard output.
+///
+/// # Errors
+///
+/// Fails if a logger is set already or the thread cannot be started.
+pub(crate) fn set_up(level: log::LevelFilter) -> Result<(), Failure> {
+    let (lines, queue) = sync_channel(QUEUE);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let output = Output {
+        lines,
+        dropped: Arc::clone(&dropped),
+    };
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write(&queue, &dropped))?;
+    let mut dispatch = fern::Dispatch::new()
+        .format(|out, message, record| {
+            out.finish(format_args!("{}", line(message, record)));
+        })
+        .level(log::LevelFilter::Warn);
+    for name in OWN {
+        dispatch = dispatch.level_for(name, log::LevelFilter::Trace);
+    }
+    let output = fern::Output::call(move |record| output.send(format!("{}\n", record.args())));
+    dispatch.chain(output).apply()?;
+    log::set_max_level(level);
+    Ok(())
+}
+
+fn write(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut stdout = io::stdout().lock();
+    while let Ok(first) = queue.recv() {
+        let mut batch = first;
+        while let Ok(next) = queue.try_recv() {
+            batch.extend(next);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let line = json!({ "message": "log lines dropped", "count": lost });
+            batch.extend(format!("{line}\n").into_bytes());
+        }
+        // Nowhere is left to report a failure of standard output.
+        let _ = stdout.write_all(&batch).and_then(|()| stdout.flush());
+    }
+}
+
+fn line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> Value {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let mut fields = Fields(Map::new());
+    fields.0.insert("time".to_owned(), json!(now.as_secs_f64()));
+    let level = record.level().as_str().to_ascii_lowercase();
+    fields.0.insert("level".to_owned(), Value::from(level));
+    fields
+        .0
+        .insert("message".to_owned(), Value::from(message.to_string()));
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    Value::Object(fields.0)
+}
+
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = value
+            .to_u64()
+            .map(Value::from)
+            .or_else(|| value.to_bool().map(Value::from))
+            .unwrap_or_else(|| Value::from(value.to_string()));
+        if value != Value::from("None") {
+            self.0.insert(key.to_string(), value);
+        }
+        Ok(())
+    }
+}
+
+/// Queues lines and never waits.
+#[derive(Debug)]
+struct Output {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Output {
+    fn send(&self, line: String) {
+        if self.lines.try_send(line.into_bytes()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -41,7 +41,6 @@
 mod scrape;
 mod server;
 mod service;
-mod socket;
 mod tenure;
 
 pub use daemon::Daemon;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use almondbank_port::retry;
+use almondbank_port::socket::{self, Reader, Writer};
 use almondbank_wire::{digest, peer};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -12,7 +13,6 @@
 
 use crate::error::Code;
 use crate::node::Node;
-use crate::socket::{self, Reader, Writer};
 use crate::{Result, listener};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondbank_port::socket::{self, Reader, Writer};
 use almondbank_wire::{digest, peer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -11,7 +12,6 @@
 
 use crate::error::Code;
 use crate::node::Node;
-use crate::socket::{self, Reader, Writer};
 use crate::tenure::Ask;
 use crate::{Result, call};
 
@@ -118,17 +118,16 @@
 async fn send_document(node: &Node, writer: &mut Writer, hello: &peer::Hello) -> Result<()> {
     let edition = node.catalog.current();
     if edition.revision == 0 {
-        return writer
-            .send(&peer::Message::Heartbeat(
-                node.heartbeat_for(&hello.incarnation),
-            ))
-            .await;
+        let heartbeat = node.heartbeat_for(&hello.incarnation);
+        writer.send(&peer::Message::Heartbeat(heartbeat)).await?;
+        return Ok(());
     }
     let document = peer::Document {
         revision: edition.revision,
         document: edition.text.clone(),
     };
-    writer.send(&peer::Message::Document(document)).await
+    writer.send(&peer::Message::Document(document)).await?;
+    Ok(())
 }
 
 async fn receive(
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,8 @@
 //! The almondbank daemon.
 
+mod gateway;
+mod json_log;
+
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -20,6 +23,9 @@
             display("{}", source)
             from()
         }
+        NoSettings(variable: &'static str) {
+            display("no settings: give --settings or set {}", variable)
+        }
         Read(path: String, source: std::io::Error) {
             display("cannot read {}: {}", path, source)
         }
@@ -38,6 +44,10 @@
             display("{}", source)
             from()
         }
+        Gateway(source: almondbank_gateway::Error) {
+            display("{}", source)
+            from()
+        }
     }
 }
 
@@ -48,7 +58,7 @@
             eprintln!("almondbank: {failure}");
             ExitCode::from(match failure {
                 Failure::Usage(_) => EXIT_USAGE,
-                Failure::Read(..) | Failure::Settings(..) => EXIT_SETTINGS,
+                Failure::NoSettings(_) | Failure::Read(..) | Failure::Settings(..) => EXIT_SETTINGS,
                 _ => EXIT_FAILED,
             })
         }
@@ -56,6 +66,9 @@
 }
 
 fn run() -> Result<(), Failure> {
+    if std::env::args().nth(1).as_deref() == Some(gateway::COMMAND) {
+        return gateway::run();
+    }
     let mut options = Options::new();
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
@@ -65,7 +78,7 @@
     if arguments.iter().any(|a| a == "-h" || a == "--help") {
         print!(
             "{}",
-            options.usage("Usage: almondbank --settings FILE [--check]")
+            options.usage("Usage: almondbank --settings FILE [--check]\n       almondbank gateway [--settings FILE] [--check]")
         );
         return Ok(());
     }
--- /dev/null
+++ b/crates/gateway/src/book.rs
@@ -0,0 +1,174 @@
+//! Work that the instances have on each runner.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_wire::mesh;
+use parking_lot::Mutex;
+
+use crate::id;
+
+/// Time after which the last report of a peer no longer counts.
+const REPORT_TTL: Duration = Duration::from_secs(2);
+
+/// Work on one runner.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Work {
+    /// Requests without a first token.
+    pub pending: u64,
+    /// Prompt tokens that these have to read.
+    pub pending_tokens: u64,
+    /// Requests that have had their first token.
+    pub running: u64,
+    /// Tokens in memory for all of them.
+    pub tokens: u64,
+}
+
+impl Work {
+    /// Requests in any state.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.pending + self.running
+    }
+
+    fn add(&mut self, other: Self) {
+        self.pending += other.pending;
+        self.pending_tokens += other.pending_tokens;
+        self.running += other.running;
+        self.tokens += other.tokens;
+    }
+}
+
+/// Work on all runners, this instance's and the peers'.
+#[derive(Debug, Default)]
+pub struct Book {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    own: BTreeMap<id::Runner, Work>,
+    peers: BTreeMap<id::Instance, Report>,
+}
+
+#[derive(Debug)]
+struct Report {
+    at: Duration,
+    loads: BTreeMap<id::Runner, Work>,
+}
+
+/// One request on a runner; dropping it ends the entry.
+#[derive(Debug)]
+pub struct Entry {
+    book: Arc<Book>,
+    runner: id::Runner,
+    to_read: u64,
+    tokens: u64,
+    has_started: bool,
+}
+
+impl Book {
+    /// Enters a request that has `to_read` prompt tokens to read and will take
+    /// `tokens` of memory.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>, runner: &str, to_read: u64, tokens: u64) -> Entry {
+        let mut inner = self.inner.lock();
+        let work = inner.own.entry(runner.to_owned()).or_default();
+        work.pending += 1;
+        work.pending_tokens += to_read;
+        work.tokens += tokens;
+        Entry {
+            book: Arc::clone(self),
+            runner: runner.to_owned(),
+            to_read,
+            tokens,
+            has_started: false,
+        }
+    }
+
+    /// Replaces what `instance` reported before.
+    pub fn report(&self, instance: &str, loads: Vec<mesh::Load>, now: Duration) {
+        let loads = loads
+            .into_iter()
+            .map(|load| {
+                let work = Work {
+                    pending: load.pending,
+                    pending_tokens: load.pending_tokens,
+                    running: load.running,
+                    tokens: load.tokens,
+                };
+                (load.runner, work)
+            })
+            .collect();
+        let report = Report { at: now, loads };
+        self.inner.lock().peers.insert(instance.to_owned(), report);
+    }
+
+    /// Work of all instances by runner.
+    #[must_use]
+    pub fn totals(&self, now: Duration) -> BTreeMap<id::Runner, Work> {
+        let inner = self.inner.lock();
+        let mut totals = inner.own.clone();
+        for report in inner.peers.values() {
+            if now.saturating_sub(report.at) > REPORT_TTL {
+                continue;
+            }
+            for (runner, work) in &report.loads {
+                totals.entry(runner.clone()).or_default().add(*work);
+            }
+        }
+        totals
+    }
+
+    /// This instance's own work, for its peers.
+    #[must_use]
+    pub fn own(&self) -> Vec<mesh::Load> {
+        let inner = self.inner.lock();
+        inner
+            .own
+            .iter()
+            .map(|(runner, work)| mesh::Load {
+                runner: runner.clone(),
+                running: work.running,
+                pending: work.pending,
+                pending_tokens: work.pending_tokens,
+                tokens: work.tokens,
+            })
+            .collect()
+    }
+}
+
+impl Entry {
+    /// Notes that the first token has come.
+    pub fn start(&mut self) {
+        if std::mem::replace(&mut self.has_started, true) {
+            return;
+        }
+        let mut inner = self.book.inner.lock();
+        if let Some(work) = inner.own.get_mut(&self.runner) {
+            work.pending -= 1;
+            work.pending_tokens -= self.to_read;
+            work.running += 1;
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let mut inner = self.book.inner.lock();
+        let Some(work) = inner.own.get_mut(&self.runner) else {
+            return;
+        };
+        work.tokens -= self.tokens;
+        if self.has_started {
+            work.running -= 1;
+        } else {
+            work.pending -= 1;
+            work.pending_tokens -= self.to_read;
+        }
+        if *work == Work::default() {
+            inner.own.remove(&self.runner);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/demand.rs
@@ -0,0 +1,92 @@
+//! Requests by model, counted for the keeper.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use almondbank_wire::mesh;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::id;
+
+type Key = (id::Service, id::Model);
+
+/// Requests since the last report.
+#[derive(Debug, Default)]
+pub struct Counter {
+    models: Mutex<BTreeMap<Key, Count>>,
+    cold: Notify,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    arrivals: u64,
+    waiting: u64,
+    rank: u8,
+}
+
+/// A request that waits for a replica; dropping it ends the wait.
+#[derive(Debug)]
+pub struct Waiting {
+    counter: Arc<Counter>,
+    key: Key,
+}
+
+impl Counter {
+    /// Counts a request for a model.
+    pub fn arrive(&self, service: &str, model: &str, rank: u8) {
+        let mut models = self.models.lock();
+        let key = (service.to_owned(), model.to_owned());
+        let count = models.entry(key).or_insert(Count {
+            rank,
+            ..Count::default()
+        });
+        count.arrivals += 1;
+        count.rank = count.rank.min(rank);
+    }
+
+    /// Enters a request that waits, and wakes whoever reports it.
+    #[must_use]
+    pub fn wait(self: &Arc<Self>, service: &str, model: &str) -> Waiting {
+        let key = (service.to_owned(), model.to_owned());
+        self.models.lock().entry(key.clone()).or_default().waiting += 1;
+        self.cold.notify_waiters();
+        Waiting {
+            counter: Arc::clone(self),
+            key,
+        }
+    }
+
+    /// Completes when a request begins to wait.
+    pub async fn cold(&self) {
+        self.cold.notified().await;
+    }
+
+    /// Takes the arrivals since the last call, with the requests that wait now.
+    #[must_use]
+    pub fn take(&self) -> Vec<mesh::Demand> {
+        let mut models = self.models.lock();
+        let demands = models
+            .iter_mut()
+            .filter(|(_, count)| count.arrivals > 0 || count.waiting > 0)
+            .map(|((service, model), count)| mesh::Demand {
+                service: service.clone(),
+                model: model.clone(),
+                arrivals: std::mem::take(&mut count.arrivals),
+                waiting: count.waiting,
+                rank: count.rank,
+            })
+            .collect();
+        models.retain(|_, count| count.waiting > 0);
+        demands
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut models = self.counter.models.lock();
+        if let Some(count) = models.get_mut(&self.key) {
+            count.waiting = count.waiting.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,179 @@
+//! What the tasks of one gateway share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_port::clock::Clock;
+use almondbank_port::table::Table;
+use almondbank_wire::gateway::Settings;
+use almondbank_wire::mesh;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::book::Book;
+use crate::budget::Budget;
+use crate::demand::Counter;
+use crate::edge::Edge;
+use crate::environment::Environment;
+use crate::feed::{Edition, Editions, Registrations};
+use crate::health::Health;
+use crate::interest::Interests;
+use crate::kept::Kept;
+use crate::links::Links;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::order::Orders;
+use crate::pool::Pool;
+use crate::roster::Roster;
+use crate::speed::Speed;
+use crate::tenure::Tenure;
+use crate::{Result, id};
+
+/// What surrounds a gateway.
+#[derive(Clone, Debug)]
+pub struct Ports {
+    /// Heads of requests and answers.
+    pub edge: Arc<dyn Edge>,
+    /// The environment that the operators wrote.
+    pub editions: Arc<dyn Editions>,
+    /// The registrations of the runners.
+    pub registrations: Arc<dyn Registrations>,
+    /// The order side of the runners.
+    pub orders: Arc<dyn Orders>,
+    /// The system's own rows.
+    pub table: Arc<dyn Table>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// What the tasks of one gateway share.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) ports: Ports,
+    edition: RwLock<Option<Edition>>,
+    /// Version of the environment in force.
+    pub(crate) version: watch::Sender<u64>,
+    pub(crate) roster: Roster,
+    pub(crate) book: Arc<Book>,
+    pub(crate) kept: Kept,
+    pub(crate) health: Health,
+    pub(crate) speed: Speed,
+    pub(crate) budget: Budget,
+    pub(crate) demand: Arc<Counter>,
+    pub(crate) interests: Interests,
+    pub(crate) members: Members,
+    pub(crate) links: Links,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    /// The lease that this instance holds, if it does.
+    pub(crate) tenure: Mutex<Option<Arc<Tenure>>>,
+    /// Cancelled when the instance begins to leave.
+    pub(crate) leaving: CancellationToken,
+    /// Cancelled when idle connections of callers are to be closed.
+    pub(crate) closing: CancellationToken,
+    /// Cancelled when all tasks are to end.
+    pub(crate) stopped: CancellationToken,
+    /// Connections of callers and answers in progress.
+    pub(crate) work: TaskTracker,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: Settings, ports: Ports) -> Result<Self> {
+        let run: u64 = rand::random();
+        let clock = Arc::clone(&ports.clock);
+        Ok(Self {
+            incarnation: format!("{}-{run:016x}", settings.instance),
+            edition: RwLock::default(),
+            version: watch::Sender::new(0),
+            roster: Roster::new(settings.reconcile),
+            book: Arc::default(),
+            kept: Kept::default(),
+            health: Health::default(),
+            speed: Speed::default(),
+            budget: Budget::new(settings.retry),
+            demand: Arc::default(),
+            interests: Interests::default(),
+            members: Members::default(),
+            links: Links::default(),
+            pool: Pool::new(Arc::clone(&clock)),
+            metrics: Metrics::new()?,
+            tenure: Mutex::default(),
+            leaving: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            stopped: CancellationToken::new(),
+            work: TaskTracker::new(),
+            clock,
+            ports,
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The environment in force, if any is known.
+    pub(crate) fn environment(&self) -> Option<Arc<Environment>> {
+        let edition = self.edition.read();
+        edition
+            .as_ref()
+            .map(|edition| Arc::clone(&edition.environment))
+    }
+
+    /// The edition in force as the operators wrote it.
+    pub(crate) fn edition(&self) -> Option<Edition> {
+        self.edition.read().clone()
+    }
+
+    /// Puts `edition` in force if it is newer than the one that is.
+    pub(crate) fn offer(&self, edition: Edition, source: &str) {
+        let version = edition.environment.version;
+        let mut current = self.edition.write();
+        let from = current.as_ref().map_or(0, |e| e.environment.version);
+        if version <= from {
+            return;
+        }
+        *current = Some(edition);
+        drop(current);
+        log::info!(from, version, source; "environment in force");
+        self.version.send_replace(version);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving.is_cancelled() && self.environment().is_some() && self.roster.is_known()
+    }
+
+    pub(crate) fn hello(&self) -> mesh::Hello {
+        mesh::Hello {
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation.clone(),
+            peers: self.settings.listen.peers.to_string(),
+            callers: self.settings.listen.callers.to_string(),
+            data_centre: self.settings.data_centre.clone(),
+        }
+    }
+
+    pub(crate) fn tenure(&self) -> Option<Arc<Tenure>> {
+        self.tenure.lock().clone()
+    }
+
+    /// Makes the report for the peers; takes what was counted since the last one.
+    pub(crate) fn status(&self) -> mesh::Status {
+        mesh::Status {
+            ready: self.is_ready(),
+            leaving: self.leaving.is_cancelled(),
+            environment: *self.version.borrow(),
+            registry: self.roster.newest(),
+            keeper: self.tenure().map_or(0, |tenure| tenure.fencing()),
+            loads: self.book.own(),
+            demands: self.demand.take(),
+            kept: self.kept.take_news(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/instance.rs
@@ -0,0 +1,122 @@
+//! One running gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_wire::gateway::Settings;
+use tokio::net::TcpListener;
+
+use crate::error::Code;
+use crate::gateway::{Gateway, Ports};
+use crate::server::{self, Purpose};
+use crate::{Result, keeper, mesh, tcp, watcher};
+
+/// Time for which callers go on using an address after it left the directory.
+const DEPARTURE: Duration = Duration::from_millis(4500);
+/// Time before the forced end at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(600);
+
+/// One running gateway.
+#[derive(Debug)]
+pub struct Instance {
+    gateway: Arc<Gateway>,
+}
+
+impl Instance {
+    /// Binds the addresses in `settings` and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(mut settings: Settings, ports: Ports) -> Result<Self> {
+        let listen = &mut settings.listen;
+        let callers = bind(&mut listen.callers)?;
+        let ready = bind(&mut listen.ready)?;
+        let peers = bind(&mut listen.peers)?;
+        let directory = bind(&mut listen.directory)?;
+        let metrics = bind(&mut listen.metrics)?;
+        let gateway = Arc::new(Gateway::new(settings, ports)?);
+        let reports = mesh::reports();
+        tokio::spawn(mesh::listen(Arc::clone(&gateway), peers, reports.clone()));
+        tokio::spawn(mesh::discover(Arc::clone(&gateway), reports.clone()));
+        tokio::spawn(mesh::report(Arc::clone(&gateway), reports));
+        tokio::spawn(watcher::follow_environment(Arc::clone(&gateway)));
+        tokio::spawn(watcher::follow_registrations(Arc::clone(&gateway)));
+        tokio::spawn(watcher::sweep(Arc::clone(&gateway)));
+        tokio::spawn(keeper::run(Arc::clone(&gateway)));
+        let listeners = [
+            (callers, Purpose::Callers),
+            (ready, Purpose::Ready),
+            (directory, Purpose::Directory),
+            (metrics, Purpose::Metrics),
+        ];
+        for (listener, purpose) in listeners {
+            tokio::spawn(server::run(Arc::clone(&gateway), listener, purpose));
+        }
+        log::info!(
+            instance = gateway.settings.instance.as_str(),
+            incarnation = gateway.incarnation.as_str(),
+            callers:% = gateway.settings.listen.callers,
+            peers:% = gateway.settings.listen.peers,
+            store:% = gateway.settings.store;
+            "started"
+        );
+        Ok(Self { gateway })
+    }
+
+    /// Settings with the addresses that are bound.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.gateway.settings
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.gateway.is_ready()
+    }
+
+    /// Version of the environment in force, or 0.
+    #[must_use]
+    pub fn environment(&self) -> u64 {
+        *self.gateway.version.borrow()
+    }
+
+    /// Whether this instance holds the lease.
+    #[must_use]
+    pub fn is_keeper(&self) -> bool {
+        self.gateway.tenure().is_some()
+    }
+
+    /// Leaves: tells callers and peers, hands the lease over, goes on serving
+    /// for as long as callers may still come, and ends when all requests have
+    /// ended or the grace period is nearly over.
+    pub async fn shutdown(self) {
+        let gateway = self.gateway;
+        let began = gateway.now();
+        log::info!(connections = gateway.work.len(); "leaving");
+        gateway.leaving.cancel();
+        gateway
+            .clock
+            .sleep(DEPARTURE.min(gateway.settings.grace))
+            .await;
+        gateway.closing.cancel();
+        gateway.work.close();
+        let end = began + gateway.settings.grace.saturating_sub(END_MARGIN);
+        let left = end.saturating_sub(gateway.now());
+        tokio::select! {
+            () = gateway.work.wait() => {}
+            () = gateway.clock.sleep(left) => {}
+        }
+        log::info!(connections = gateway.work.len(); "stopped");
+        gateway.stopped.cancel();
+    }
+}
+
+fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
+    let fail = |error: std::io::Error| Code::Connect(format!("cannot listen: {error}"));
+    let listener = tcp::listen(*address).map_err(fail)?;
+    *address = listener.local_addr().map_err(fail)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/crates/gateway/src/interest.rs
@@ -0,0 +1,86 @@
+//! How much each model is asked for, over all instances.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use almondbank_wire::mesh;
+use parking_lot::Mutex;
+
+use crate::id;
+use crate::planner;
+
+/// Time in which a past request comes to weigh half.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+/// Time after which the waiting requests of a silent instance no longer count.
+const WAITING_TTL: Duration = Duration::from_millis(1500);
+
+/// Interest by service and model.
+#[derive(Debug, Default)]
+pub struct Interests {
+    inner: Mutex<BTreeMap<(id::Service, id::Model), State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Requests, those in the past weighing less.
+    weight: f64,
+    updated: Duration,
+    rank: u8,
+    waiting: BTreeMap<id::Instance, (Duration, u64)>,
+}
+
+impl Interests {
+    /// Adds what `instance` counted since its last report.
+    pub fn add(&self, instance: &str, demands: &[mesh::Demand], now: Duration) {
+        let mut inner = self.inner.lock();
+        for state in inner.values_mut() {
+            state.waiting.remove(instance);
+        }
+        for demand in demands {
+            let key = (demand.service.clone(), demand.model.clone());
+            let state = inner.entry(key).or_insert_with(|| State {
+                rank: demand.rank,
+                updated: now,
+                ..State::default()
+            });
+            state.decay(now);
+            state.weight += f64::from(u32::try_from(demand.arrivals).unwrap_or(u32::MAX));
+            state.rank = demand.rank;
+            if demand.waiting > 0 {
+                let entry = (now, demand.waiting);
+                state.waiting.insert(instance.to_owned(), entry);
+            }
+        }
+    }
+
+    /// Interest in the models of `service`.
+    #[must_use]
+    pub fn of(&self, service: &str, now: Duration) -> BTreeMap<id::Model, planner::Interest> {
+        let mut inner = self.inner.lock();
+        inner
+            .iter_mut()
+            .filter(|((of, _), _)| of == service)
+            .map(|((_, model), state)| {
+                state.decay(now);
+                let fresh = state
+                    .waiting
+                    .values()
+                    .filter(|(at, _)| now.saturating_sub(*at) < WAITING_TTL);
+                let interest = planner::Interest {
+                    rate: state.weight * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64(),
+                    waiting: fresh.map(|(_, count)| count).sum(),
+                    rank: state.rank,
+                };
+                (model.clone(), interest)
+            })
+            .collect()
+    }
+}
+
+impl State {
+    fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.updated);
+        self.weight *= 0.5_f64.powf(elapsed.div_duration_f64(HALF_LIFE));
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/keeper.rs
@@ -0,0 +1,114 @@
+//! The task that takes the lease and keeps the models where they are asked for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_control::lease::{Contender, Identity, Lease};
+
+use crate::gateway::Gateway;
+use crate::mesh::ENVIRONMENT;
+use crate::tenure::Tenure;
+
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest time between two plans.
+const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(15);
+const CONTEND_INTERVAL: Duration = Duration::from_millis(700);
+/// Time in which a started instance hears of a keeper before it contends.
+const SETTLE: Duration = Duration::from_millis(300);
+/// Largest random delay between instances that contend.
+const JITTER_MS: u64 = 300;
+
+/// Contends for the lease and plans while it is held.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let identity = Identity {
+        environment: ENVIRONMENT.to_owned(),
+        incarnation: gateway.incarnation.clone(),
+        address: gateway.settings.listen.peers.to_string(),
+        term: gateway.settings.lease,
+    };
+    let table = Arc::clone(&gateway.ports.table);
+    let mut contender = Contender::new(identity, table, Arc::clone(&gateway.clock));
+    let jitter = Duration::from_millis(rand::random::<u64>() % JITTER_MS);
+    gateway.clock.sleep(SETTLE + jitter).await;
+    while !gateway.leaving.is_cancelled() {
+        let now = gateway.now();
+        let is_needed = gateway
+            .environment()
+            .is_some_and(|environment| environment.engines().next().is_some());
+        if is_needed && gateway.members.keeper(now).is_none() {
+            match contender.poll().await {
+                Ok(Some(lease)) => {
+                    hold(&gateway, lease).await;
+                    // The next holder's orders must not alternate with ours.
+                    pause(&gateway, gateway.settings.lease).await;
+                }
+                Ok(None) => {}
+                Err(error) => log::info!(error:% = error; "lease is not read"),
+            }
+        }
+        let jitter = Duration::from_millis(rand::random::<u64>() % JITTER_MS);
+        pause(&gateway, CONTEND_INTERVAL + jitter).await;
+    }
+}
+
+async fn pause(gateway: &Gateway, duration: Duration) {
+    tokio::select! {
+        () = gateway.leaving.cancelled() => {}
+        () = gateway.clock.sleep(duration) => {}
+    }
+}
+
+async fn hold(gateway: &Arc<Gateway>, mut lease: Lease) {
+    let fencing = lease.fencing();
+    log::info!(fencing; "lease taken");
+    let tenure = Arc::new(Tenure::new(gateway, fencing, lease.valid_until()));
+    *gateway.tenure.lock() = Some(Arc::clone(&tenure));
+    let reason = tokio::select! {
+        () = gateway.leaving.cancelled() => "leaving",
+        () = tenure.over.cancelled() => "succeeded at a runner",
+        reason = renew(gateway, &mut lease, &tenure) => reason,
+        () = plan(gateway, &tenure) => "stopped",
+    };
+    tenure.over.cancel();
+    *gateway.tenure.lock() = None;
+    log::info!(fencing, reason; "lease ends");
+    if let Err(error) = lease.release().await {
+        log::info!(fencing, error:% = error; "lease is not released");
+    }
+}
+
+async fn renew(gateway: &Gateway, lease: &mut Lease, tenure: &Tenure) -> &'static str {
+    let interval = gateway.settings.lease / 3;
+    loop {
+        gateway.clock.sleep(interval).await;
+        if let Some((_, fencing)) = gateway.members.keeper(gateway.now())
+            && fencing > lease.fencing()
+        {
+            return "succeeded by a peer";
+        }
+        match lease.commit(lease.transaction()).await {
+            Ok(()) => tenure.extend(lease.valid_until()),
+            Err(error) if gateway.settings.checks_fencing => {
+                log::info!(fencing = lease.fencing(), error:% = error; "lease is not renewed");
+            }
+            Err(_) => return "lost",
+        }
+    }
+}
+
+async fn plan(gateway: &Gateway, tenure: &Arc<Tenure>) {
+    let mut changed = gateway.roster.subscribe();
+    loop {
+        if let Some(environment) = gateway.environment() {
+            for (service, engine) in environment.engines() {
+                tenure.plan(gateway, service, engine);
+            }
+        }
+        gateway.clock.sleep(MIN_PLAN_INTERVAL).await;
+        tokio::select! {
+            _ = changed.changed() => {}
+            () = gateway.demand.cold() => {}
+            () = gateway.clock.sleep(PLAN_INTERVAL) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Counters and latency histograms, and the page that a scraper reads.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::Result;
+use crate::error::Code;
+
+const SECONDS_BOUNDS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// The instruments of one instance; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    orders: Counter<u64>,
+    connections: Counter<u64>,
+    latency: Histogram<f64>,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the registry refuses one.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| Code::Malformed(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("almondbank");
+        let counter = |name, description| {
+            let builder = meter.u64_counter(name);
+            builder.with_description(description).build()
+        };
+        Ok(Self {
+            answers: counter(
+                "almondbank_answers",
+                "Answers of runners passed on, by route.",
+            ),
+            refusals: counter("almondbank_refusals", "Requests refused, by reason."),
+            retries: counter("almondbank_retries", "Requests sent again, by service."),
+            orders: counter(
+                "almondbank_orders",
+                "Orders to runners, by action and receipt.",
+            ),
+            connections: counter("almondbank_connections", "Connections made to runners."),
+            latency: meter
+                .f64_histogram("almondbank_latency_seconds")
+                .with_description("Time to the first byte of an answer, by route.")
+                .with_boundaries(SECONDS_BOUNDS.to_vec())
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer.
+    pub fn answer(&self, route: &str, latency: Duration) {
+        let labels = [KeyValue::new("route", route.to_owned())];
+        self.answers.add(1, &labels);
+        self.latency.record(latency.as_secs_f64(), &labels);
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request that is sent again.
+    pub fn retry(&self, service: &str) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.retries.add(1, &labels);
+    }
+
+    /// Counts an order.
+    pub fn order(&self, action: String, receipt: String) {
+        let labels = [
+            KeyValue::new("action", action),
+            KeyValue::new("receipt", receipt),
+        ];
+        self.orders.add(1, &labels);
+    }
+
+    /// Counts a connection made to a runner.
+    pub fn connection(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// The page in the Prometheus text format.
+    #[must_use]
+    pub fn page(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .inspect_err(|error| log::warn!(error:% = error; "metrics cannot be written"))
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pick.rs
@@ -0,0 +1,170 @@
+//! Finds a runner for a request, or tells why there is none.
+
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use crate::call::Target;
+use crate::choice::{self, Candidate, Demand};
+use crate::exchange::Exchange;
+use crate::gateway::Gateway;
+use crate::id;
+use crate::refusal::{Reason, Refusal};
+use crate::roster::Runner;
+use crate::service::Engine;
+
+/// Time beside a load until a replica takes requests.
+const LOAD_SLACK: Duration = Duration::from_millis(800);
+/// Shortest time in which a runner can do anything useful.
+const MIN_SERVICE: Duration = Duration::from_millis(20);
+/// Time to come back after when every runner is busy.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time to come back after when no runner is registered.
+const ABSENT_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A runner for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) runner: Runner,
+    /// Tokens that this request has to read there.
+    pub(crate) to_read: u64,
+    /// Tokens that are to be read before its first token.
+    pub(crate) queued_tokens: u64,
+    pub(crate) predicted: Duration,
+    pub(crate) holds_adapter: bool,
+}
+
+/// What to do with a request now.
+#[derive(Debug)]
+pub(crate) enum Pick {
+    Send(Box<Chosen>),
+    /// Wait for a change of the roster; refuse with this if none comes in time.
+    Wait(Refusal),
+    Refuse(Refusal),
+}
+
+/// Picks a runner that is not in `tried`.
+pub(crate) fn pick(gateway: &Gateway, exchange: &Exchange, tried: &BTreeSet<id::Runner>) -> Pick {
+    let now = gateway.now();
+    if exchange.remaining(now) <= MIN_SERVICE {
+        return Pick::Refuse(Refusal::new(Reason::Expired));
+    }
+    let mut runners = gateway.roster.usable(&exchange.service, now);
+    if runners.is_empty() {
+        return Pick::Wait(Refusal::new(Reason::NoRunner).after(ABSENT_RETRY_AFTER));
+    }
+    if let Some((engine, target)) = exchange.engine().zip(exchange.call.target.as_ref()) {
+        let Some(model) = engine.models.get(&target.model) else {
+            return Pick::Refuse(Refusal::new(Reason::NoReplica));
+        };
+        let has_copy = runners.iter().any(|runner| runner.has_copy(&target.model));
+        runners.retain(|runner| runner.holds_model(&target.model));
+        if runners.is_empty() {
+            let load = if has_copy {
+                model.disk_load
+            } else {
+                model.store_load
+            };
+            return wait_for_replica(exchange, load + LOAD_SLACK, now);
+        }
+    }
+    runners.retain(|runner| !tried.contains(runner.id()));
+    if runners.is_empty() {
+        return Pick::Refuse(Refusal::new(Reason::Overloaded).after(BUSY_RETRY_AFTER));
+    }
+    choose(gateway, exchange, runners, now)
+}
+
+fn wait_for_replica(exchange: &Exchange, ready_in: Duration, now: Duration) -> Pick {
+    let refusal = Refusal::new(Reason::NoReplica).after(ready_in);
+    let waited = now.saturating_sub(exchange.arrived);
+    if ready_in.saturating_sub(waited) > exchange.remaining(now) {
+        return Pick::Refuse(refusal);
+    }
+    Pick::Wait(refusal)
+}
+
+fn choose(gateway: &Gateway, exchange: &Exchange, runners: Vec<Runner>, now: Duration) -> Pick {
+    let demand = demand(gateway, exchange);
+    let totals = gateway.book.totals(now);
+    let candidates: Vec<_> = runners
+        .iter()
+        .map(|runner| {
+            let id = runner.id();
+            let target = exchange.call.target.as_ref();
+            Candidate {
+                runner: id.clone(),
+                is_near: runner.registration.data_centre == gateway.settings.data_centre,
+                work: totals.get(id).copied().unwrap_or_default(),
+                slots: runner.registration.slots,
+                kept_tokens: gateway.kept.tokens(id, &exchange.chain),
+                holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
+                is_ejected: gateway.health.is_ejected(id, now),
+                failure_rate: gateway.health.failure_rate(id),
+                preference: preference(exchange, id),
+            }
+        })
+        .collect();
+    let Some(best) = choice::choose(&candidates, &demand) else {
+        return Pick::Refuse(Refusal::new(Reason::NoRunner));
+    };
+    let predicted = choice::first_token(best, &demand);
+    if exchange.engine().is_some() && predicted > exchange.remaining(now) {
+        let later = predicted.saturating_sub(exchange.route.objective);
+        return Pick::Refuse(Refusal::new(Reason::Overloaded).after(later));
+    }
+    let to_read = demand.prompt_tokens.saturating_sub(best.kept_tokens);
+    let queued_tokens = best.work.pending_tokens + to_read;
+    let holds_adapter = best.holds_adapter;
+    let chosen = runners
+        .into_iter()
+        .find(|runner| *runner.id() == best.runner)
+        .map(|runner| Chosen {
+            runner,
+            to_read,
+            queued_tokens,
+            predicted,
+            holds_adapter,
+        });
+    match chosen {
+        Some(chosen) => Pick::Send(Box::new(chosen)),
+        None => Pick::Refuse(Refusal::new(Reason::NoRunner)),
+    }
+}
+
+fn demand(gateway: &Gateway, exchange: &Exchange) -> Demand {
+    let model = exchange.call.target.as_ref().map(|target| &target.model);
+    let is_engine = exchange.engine().is_some();
+    Demand {
+        prompt_tokens: if is_engine {
+            exchange.call.prompt_tokens
+        } else {
+            0
+        },
+        tokens: exchange.tokens(),
+        capacity: exchange
+            .engine()
+            .map_or(0, |engine: &Engine| engine.kv_capacity),
+        token: model
+            .filter(|_| is_engine)
+            .map_or(Duration::ZERO, |model| gateway.speed.token(model)),
+    }
+}
+
+// Rendezvous hashing over the parts that requests share: all instances prefer
+// the same runner for prompts that begin alike.
+fn preference(exchange: &Exchange, runner: &str) -> u64 {
+    let shared = exchange.chain.len().saturating_sub(2);
+    let mut hasher = DefaultHasher::new();
+    match exchange.chain.get(shared) {
+        Some(link) => link.chain.hash(&mut hasher),
+        None => exchange
+            .call
+            .target
+            .as_ref()
+            .map(|t: &Target| &t.model)
+            .hash(&mut hasher),
+    }
+    runner.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/gateway/src/planner.rs
@@ -0,0 +1,344 @@
+//! Which models the runners of one service should hold.
+//!
+//! Answers demand that moves between models faster than the weight store can
+//! load them: replicas are a cache over the copies that runners keep on disk and
+//! in host memory, and a replica gives way to a model that is asked for more.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::id;
+use crate::service::{Engine, Model};
+
+/// Prompt tokens waiting on every replica above which a model gets another one.
+const STRAINED_TOKENS: u64 = 12_000;
+/// Factor by which a model must be asked for more than the one it replaces.
+const HYSTERESIS: f64 = 1.5;
+/// Worth of one of several replicas, as a share of that of a single one.
+const SPARE_SHARE: f64 = 0.25;
+
+/// One runner as the planner sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Runner {
+    /// Models that it holds.
+    pub models: BTreeSet<id::Model>,
+    /// Model that is being loaded.
+    pub loading: Option<id::Model>,
+    /// Model that is being unloaded.
+    pub unloading: Option<id::Model>,
+    /// Whether an order is in progress or its outcome is unknown.
+    pub is_busy: bool,
+    /// Models with a copy in host memory.
+    pub in_memory: BTreeSet<id::Model>,
+    /// Models with a copy on disk.
+    pub on_disk: BTreeSet<id::Model>,
+    /// Prompt tokens that its requests still have to read.
+    pub pending_tokens: u64,
+    /// Model for which room was made.
+    pub reserved_for: Option<id::Model>,
+}
+
+/// How much a model is asked for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Interest {
+    /// Requests in a second, newer ones weighing more.
+    pub rate: f64,
+    /// Requests that wait for a replica.
+    pub waiting: u64,
+    /// Most urgent rank of the requests.
+    pub rank: u8,
+}
+
+/// Everything that a decision depends on.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// Properties of the runners.
+    pub engine: &'a Engine,
+    /// Runners that take new work.
+    pub runners: BTreeMap<id::Runner, Runner>,
+    /// Interest by model.
+    pub interests: BTreeMap<id::Model, Interest>,
+    /// Loads from the weight store that may begin now.
+    pub store_loads: usize,
+}
+
+/// Where a load comes from.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Tier {
+    /// The runner's host memory.
+    Memory,
+    /// The runner's disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+/// One order to give.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Load a model.
+    Load {
+        /// Runner.
+        runner: id::Runner,
+        /// Model.
+        model: id::Model,
+        /// Where it comes from.
+        tier: Tier,
+    },
+    /// Unload a model to make room.
+    Unload {
+        /// Runner.
+        runner: id::Runner,
+        /// Model.
+        model: id::Model,
+        /// Model that the room is for.
+        successor: id::Model,
+    },
+}
+
+/// Decides what to order now; at most one order a runner.
+#[must_use]
+pub fn decide(view: &View<'_>) -> Vec<Decision> {
+    let mut round = Round {
+        view,
+        store_loads: view.store_loads,
+        taken: BTreeSet::new(),
+        decisions: Vec::new(),
+    };
+    round.fill_reserved();
+    for model in round.needs() {
+        round.place(&model);
+    }
+    round.decisions
+}
+
+struct Round<'a> {
+    view: &'a View<'a>,
+    store_loads: usize,
+    /// Runners that have a decision already.
+    taken: BTreeSet<&'a str>,
+    decisions: Vec<Decision>,
+}
+
+struct Place<'a> {
+    runner: &'a str,
+    tier: Tier,
+    victim: Option<&'a str>,
+    loss: f64,
+}
+
+impl<'a> Round<'a> {
+    fn model(&self, name: &str) -> Option<&'a Model> {
+        self.view.engine.models.get(name)
+    }
+
+    fn interest(&self, model: &str) -> Interest {
+        self.view.interests.get(model).copied().unwrap_or_default()
+    }
+
+    /// Replicas that are held, coming, or planned.
+    fn replicas(&self, model: &str) -> usize {
+        self.view
+            .runners
+            .values()
+            .filter(|runner| runner.provides(model))
+            .count()
+    }
+
+    fn fill_reserved(&mut self) {
+        for (name, runner) in &self.view.runners {
+            let Some(model) = &runner.reserved_for else {
+                continue;
+            };
+            if runner.is_busy || runner.models.contains(model) {
+                continue;
+            }
+            self.taken.insert(name);
+            if self.free_mb(runner) < self.size(model) {
+                continue;
+            }
+            self.load(name, model, runner.tier(model));
+        }
+    }
+
+    // Models without a replica that are waited for come first, by rank; then
+    // those whose replicas have too much to read; then those without any copy.
+    fn needs(&self) -> Vec<id::Model> {
+        let mut absent = Vec::new();
+        let mut strained = Vec::new();
+        let mut uncovered = Vec::new();
+        for model in self.view.engine.models.keys() {
+            let interest = self.interest(model);
+            if self.replicas(model) == 0 {
+                if interest.waiting > 0 {
+                    absent.push((interest.rank, std::cmp::Reverse(interest.waiting), model));
+                } else if !self.has_copy(model) {
+                    uncovered.push(model);
+                }
+            } else if self.is_strained(model) {
+                strained.push((interest.rank, model));
+            }
+        }
+        absent.sort();
+        strained.sort();
+        let absent = absent.into_iter().map(|(_, _, model)| model);
+        let strained = strained.into_iter().map(|(_, model)| model);
+        absent.chain(strained).chain(uncovered).cloned().collect()
+    }
+
+    fn has_copy(&self, model: &str) -> bool {
+        let mut runners = self.view.runners.values();
+        runners.any(|runner| runner.tier(model) != Tier::Store)
+    }
+
+    fn is_strained(&self, model: &str) -> bool {
+        let mut runners = self.view.runners.values();
+        let provided = runners.clone().any(|runner| runner.provides(model));
+        provided
+            && runners.all(|runner| {
+                let ready = runner.models.contains(model);
+                let coming = !ready && runner.provides(model);
+                !coming && (!ready || runner.pending_tokens > STRAINED_TOKENS)
+            })
+    }
+
+    fn place(&mut self, model: &str) {
+        let interest = self.interest(model);
+        let is_waited_for = interest.waiting > 0 && self.replicas(model) == 0;
+        let options = self.view.runners.iter().filter_map(|(name, runner)| {
+            if self.taken.contains(name.as_str()) || runner.is_busy || runner.provides(model) {
+                return None;
+            }
+            let tier = runner.tier(model);
+            if tier == Tier::Store && self.store_loads == 0 {
+                return None;
+            }
+            let (victim, loss) = self.victim(runner, model)?;
+            let worthwhile =
+                is_waited_for || victim.is_none() || loss * HYSTERESIS <= interest.rate;
+            worthwhile.then_some(Place {
+                runner: name,
+                tier,
+                victim,
+                loss,
+            })
+        });
+        let best = options.min_by(|a, b| {
+            let cost = |option: &Place<'_>| {
+                self.load_time(model, option.tier).as_secs_f64() * (interest.rate + 1.0)
+                    + option.loss
+            };
+            cost(a).total_cmp(&cost(b))
+        });
+        let Some(best) = best else { return };
+        let (runner, tier, victim) = (best.runner, best.tier, best.victim.map(str::to_owned));
+        let runner = self
+            .view
+            .runners
+            .get_key_value(runner)
+            .map(|(name, _)| name.as_str());
+        let Some(runner) = runner else { return };
+        self.taken.insert(runner);
+        match victim {
+            Some(victim) => self.decisions.push(Decision::Unload {
+                runner: runner.to_owned(),
+                model: victim,
+                successor: model.to_owned(),
+            }),
+            None => self.load(runner, model, tier),
+        }
+    }
+
+    fn load(&mut self, runner: &str, model: &str, tier: Tier) {
+        if tier == Tier::Store {
+            if self.store_loads == 0 {
+                return;
+            }
+            self.store_loads -= 1;
+        }
+        self.decisions.push(Decision::Load {
+            runner: runner.to_owned(),
+            model: model.to_owned(),
+            tier,
+        });
+    }
+
+    // The model whose loss costs least, or none if there is room; `None` if no
+    // model can give way.
+    fn victim<'b>(&self, runner: &'b Runner, successor: &str) -> Option<(Option<&'b str>, f64)> {
+        let needed = self.size(successor);
+        let free = self.free_mb(runner);
+        if free >= needed {
+            return Some((None, 0.0));
+        }
+        runner
+            .models
+            .iter()
+            .filter(|model| free + self.size(model) >= needed)
+            .filter(|model| self.interest(model).waiting == 0)
+            .map(|model| (Some(model.as_str()), self.loss(model)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    fn loss(&self, model: &str) -> f64 {
+        let rate = self.interest(model).rate;
+        if self.replicas(model) > 1 {
+            rate * SPARE_SHARE
+        } else {
+            rate
+        }
+    }
+
+    fn load_time(&self, model: &str, tier: Tier) -> Duration {
+        let Some(model) = self.model(model) else {
+            return Duration::ZERO;
+        };
+        match tier {
+            Tier::Memory => model.memory_load,
+            Tier::Disk => model.disk_load,
+            Tier::Store => model.store_load,
+        }
+    }
+
+    fn size(&self, model: &str) -> f64 {
+        self.model(model).map_or(0.0, |model| model.memory_mb)
+    }
+
+    // Memory that weights leave, with room for a full set of adapters.
+    fn free_mb(&self, runner: &Runner) -> f64 {
+        let held = runner.models.iter().chain(&runner.loading);
+        let weights: f64 = held.map(|model| self.size(model)).sum();
+        let slots = f64::from(u32::try_from(self.view.engine.adapter_slots).unwrap_or(u32::MAX));
+        let largest = self
+            .view
+            .engine
+            .models
+            .values()
+            .map(|model| model.adapter_mb)
+            .fold(0.0, f64::max);
+        self.view.engine.memory_mb - weights - slots * largest
+    }
+}
+
+impl Runner {
+    /// Whether it holds the model, or will.
+    #[must_use]
+    pub fn provides(&self, model: &str) -> bool {
+        let is = |other: &Option<id::Model>| other.as_deref() == Some(model);
+        (self.models.contains(model) && !is(&self.unloading))
+            || is(&self.loading)
+            || is(&self.reserved_for)
+    }
+
+    /// Where a load of the model would come from.
+    #[must_use]
+    pub fn tier(&self, model: &str) -> Tier {
+        if self.in_memory.contains(model) {
+            Tier::Memory
+        } else if self.on_disk.contains(model) {
+            Tier::Disk
+        } else {
+            Tier::Store
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/tenure.rs
@@ -0,0 +1,425 @@
+//! The time for which this instance holds the lease and gives orders.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_port::clock::Clock;
+use almondbank_wire::gateway::Settings;
+use parking_lot::Mutex;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+use crate::book::Book;
+use crate::gateway::Gateway;
+use crate::metrics::Metrics;
+use crate::order::{Action, Order, Orders, Receipt};
+use crate::planner::{self, Decision, Tier};
+use crate::service::Engine;
+use crate::ward::Ward;
+use crate::{Category, id};
+
+/// Times that an order without an answer is given again.
+const MAX_RESENDS: u32 = 2;
+const RESEND_PAUSE: Duration = Duration::from_millis(250);
+/// Time without orders after one whose outcome stays unknown.
+const DOUBT: Duration = Duration::from_secs(1);
+/// Age that a runner's report may have.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Time beside a load from the store after which its runner is asked.
+const OVERDUE_SLACK: Duration = Duration::from_millis(1500);
+/// Longest wait for the turn at a runner.
+const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
+
+/// One holding of the lease.
+#[derive(Debug)]
+pub(crate) struct Tenure {
+    holder: id::Instance,
+    fencing: id::Fencing,
+    began: Duration,
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    orders: Arc<dyn Orders>,
+    metrics: Metrics,
+    valid_until: Mutex<Duration>,
+    wards: Mutex<BTreeMap<id::Runner, Ward>>,
+    store_loads: Mutex<VecDeque<Duration>>,
+    adapter_slots: Mutex<usize>,
+    /// Cancelled when this instance may give no more orders.
+    pub(crate) over: CancellationToken,
+}
+
+impl Tenure {
+    pub(crate) fn new(gateway: &Gateway, fencing: id::Fencing, valid_until: Duration) -> Self {
+        Self {
+            holder: gateway.settings.instance.clone(),
+            fencing,
+            began: gateway.now(),
+            settings: gateway.settings.clone(),
+            clock: Arc::clone(&gateway.clock),
+            orders: Arc::clone(&gateway.ports.orders),
+            metrics: gateway.metrics.clone(),
+            valid_until: Mutex::new(valid_until),
+            wards: Mutex::default(),
+            store_loads: Mutex::default(),
+            adapter_slots: Mutex::default(),
+            over: CancellationToken::new(),
+        }
+    }
+
+    pub(crate) fn fencing(&self) -> id::Fencing {
+        self.fencing
+    }
+
+    pub(crate) fn extend(&self, valid_until: Duration) {
+        *self.valid_until.lock() = valid_until;
+    }
+
+    /// Whether orders may be given. Runners that check fencing numbers refuse a
+    /// holder that was succeeded, so there the term does not end its right
+    /// while the store is away.
+    pub(crate) fn may_order(&self) -> bool {
+        let is_valid = self.clock.now() < *self.valid_until.lock();
+        !self.over.is_cancelled() && (is_valid || self.settings.checks_fencing)
+    }
+
+    /// Plans one service and gives the orders.
+    pub(crate) fn plan(self: &Arc<Self>, gateway: &Gateway, service: &str, engine: &Engine) {
+        let now = self.clock.now();
+        *self.adapter_slots.lock() = engine.adapter_slots;
+        self.observe(gateway, service, now);
+        self.check_doubtful(engine, now);
+        let view = planner::View {
+            engine,
+            runners: self.views(&gateway.book, gateway, service, now),
+            interests: gateway.interests.of(service, now),
+            store_loads: self.store_loads_left(engine, now),
+        };
+        for decision in planner::decide(&view) {
+            self.carry_out(decision, now);
+        }
+    }
+
+    fn observe(&self, gateway: &Gateway, service: &str, now: Duration) {
+        let mut wards = self.wards.lock();
+        for runner in gateway.roster.usable(service, now) {
+            let registration = &runner.registration;
+            match wards.get_mut(runner.id()) {
+                Some(ward) => ward.observe(registration, runner.address, now),
+                None => {
+                    let ward = Ward::new(registration, runner.address, now);
+                    wards.insert(runner.id().clone(), ward);
+                }
+            }
+        }
+        wards.retain(|runner, _| gateway.roster.get(runner).is_some());
+    }
+
+    fn views(
+        &self,
+        book: &Book,
+        gateway: &Gateway,
+        service: &str,
+        now: Duration,
+    ) -> BTreeMap<id::Runner, planner::Runner> {
+        let totals = book.totals(now);
+        let wards = self.wards.lock();
+        gateway
+            .roster
+            .usable(service, now)
+            .iter()
+            .filter(|runner| !gateway.health.is_ejected(runner.id(), now))
+            .filter_map(|runner| {
+                let ward = wards.get(runner.id())?;
+                let work = totals.get(runner.id()).copied().unwrap_or_default();
+                Some((runner.id().clone(), ward.view(work.pending_tokens, now)))
+            })
+            .collect()
+    }
+
+    // Loads that a former holder began may still count, so a whole window
+    // passes before this one begins any.
+    fn store_loads_left(&self, engine: &Engine, now: Duration) -> usize {
+        let window = self.settings.load.window;
+        if self.fencing > 1 && now.saturating_sub(self.began) < window {
+            return 0;
+        }
+        let mut loads = self.store_loads.lock();
+        while loads
+            .front()
+            .is_some_and(|at| now.saturating_sub(*at) > window)
+        {
+            loads.pop_front();
+        }
+        let allowed = engine.loads_per_second * window.as_secs_f64();
+        let used = f64::from(u32::try_from(loads.len()).unwrap_or(u32::MAX));
+        usize::from(used + 1.0 <= allowed)
+    }
+
+    fn check_doubtful(self: &Arc<Self>, engine: &Engine, now: Duration) {
+        let longest = engine.models.values().map(|model| model.store_load).max();
+        let limit = longest.unwrap_or_default() + OVERDUE_SLACK;
+        let overdue: Vec<_> = self
+            .wards
+            .lock()
+            .iter()
+            .filter(|(_, ward)| ward.is_doubtful || ward.is_overdue(limit, now))
+            .filter(|(_, ward)| now >= ward.blocked_until && ward.turn.try_lock().is_ok())
+            .map(|(runner, _)| runner.clone())
+            .collect();
+        for runner in overdue {
+            self.block(&runner, REPORT_LAG);
+            let tenure = Arc::clone(self);
+            tokio::spawn(async move { tenure.refresh(&runner).await });
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, decision: Decision, now: Duration) {
+        let (runner, action, model) = match decision {
+            Decision::Load {
+                runner,
+                model,
+                tier,
+            } => {
+                if tier == Tier::Store {
+                    self.store_loads.lock().push_back(now);
+                }
+                log::info!(runner = runner.as_str(), model = model.as_str(), tier:? = tier; "load decided");
+                (runner, Action::Load, model)
+            }
+            Decision::Unload {
+                runner,
+                model,
+                successor,
+            } => {
+                log::info!(
+                    runner = runner.as_str(), model = model.as_str(),
+                    successor = successor.as_str();
+                    "unload decided"
+                );
+                if let Some(ward) = self.wards.lock().get_mut(&runner) {
+                    ward.reserve(&successor, now);
+                }
+                (runner, Action::Unload, model)
+            }
+        };
+        let Some(turn) = self.turn(&runner) else {
+            return;
+        };
+        // Taken before the task starts, so that the next plan sees it.
+        let Ok(guard) = turn.try_lock_owned() else {
+            return;
+        };
+        let tenure = Arc::clone(self);
+        tokio::spawn(async move {
+            tenure.order(&runner, action, &model, None).await;
+            drop(guard);
+        });
+    }
+
+    fn turn(&self, runner: &str) -> Option<Arc<tokio::sync::Mutex<()>>> {
+        let wards = self.wards.lock();
+        wards.get(runner).map(|ward| Arc::clone(&ward.turn))
+    }
+
+    /// Makes the runner hold the adapter; returns whether it does.
+    pub(crate) async fn ensure_adapter(&self, runner: &str, model: &str, adapter: &str) -> bool {
+        let Some(turn) = self.turn(runner) else {
+            return false;
+        };
+        let Ok(_guard) = time::timeout(MAX_TURN_WAIT, turn.lock()).await else {
+            return false;
+        };
+        match self.next_adapter_step(runner, model, adapter) {
+            Step::Done => return true,
+            Step::Impossible => return false,
+            Step::Load => {}
+            Step::MakeRoom(old_model, old_adapter) => {
+                let old = Some(old_adapter.as_str());
+                if !self.order(runner, Action::Unload, &old_model, old).await {
+                    return false;
+                }
+            }
+        }
+        self.order(runner, Action::Load, model, Some(adapter)).await
+    }
+
+    fn next_adapter_step(&self, runner: &str, model: &str, adapter: &str) -> Step {
+        let now = self.clock.now();
+        let mut wards = self.wards.lock();
+        let Some(ward) = wards.get_mut(runner) else {
+            return Step::Impossible;
+        };
+        if !ward.holds_model(model) || now < ward.blocked_until {
+            return Step::Impossible;
+        }
+        ward.use_adapter(model, adapter, now);
+        if ward.holds_adapter(model, adapter) {
+            return Step::Done;
+        }
+        if ward.adapters() < *self.adapter_slots.lock() {
+            return Step::Load;
+        }
+        match ward.oldest_adapter() {
+            Some((model, adapter)) => Step::MakeRoom(model, adapter),
+            None => Step::Impossible,
+        }
+    }
+
+    /// Gives an order until its outcome is known; returns whether it holds.
+    /// The expected sequence lets only one copy of it take effect.
+    async fn order(
+        &self,
+        runner: &str,
+        action: Action,
+        model: &str,
+        adapter: Option<&str>,
+    ) -> bool {
+        for _ in 0..=MAX_RESENDS {
+            if !self.may_order() {
+                return false;
+            }
+            if !self.knows_sequence(runner) {
+                self.refresh(runner).await;
+            }
+            let Some((address, order)) = self.draft(runner, action, model, adapter) else {
+                return false;
+            };
+            let receipt = self.orders.order(address, &order).await;
+            self.log_order(&order, &receipt);
+            match receipt {
+                Ok(Receipt::Accepted) => {
+                    self.accept(&order);
+                    return true;
+                }
+                Ok(Receipt::Holds) => {
+                    self.accept(&order);
+                    self.refresh(runner).await;
+                    return true;
+                }
+                Ok(Receipt::Stale) => {
+                    self.over.cancel();
+                    return false;
+                }
+                Ok(Receipt::Conflict) => {
+                    self.clock.sleep(REPORT_LAG).await;
+                    self.forget_sequence(runner);
+                    self.refresh(runner).await;
+                    return self.holds(runner, action, model, adapter);
+                }
+                Ok(Receipt::OtherRunner | Receipt::Rejected) => return false,
+                Err(error) if error.category() == Category::NotSent => {
+                    self.block(runner, DOUBT);
+                    return false;
+                }
+                Err(_) => self.clock.sleep(RESEND_PAUSE).await,
+            }
+        }
+        self.block(runner, DOUBT);
+        self.refresh(runner).await;
+        false
+    }
+
+    fn block(&self, runner: &str, time: Duration) {
+        let until = self.clock.now() + time;
+        if let Some(ward) = self.wards.lock().get_mut(runner) {
+            ward.blocked_until = until;
+        }
+    }
+
+    fn knows_sequence(&self, runner: &str) -> bool {
+        let wards = self.wards.lock();
+        wards
+            .get(runner)
+            .is_some_and(|ward| ward.sequence.is_some())
+    }
+
+    fn forget_sequence(&self, runner: &str) {
+        if let Some(ward) = self.wards.lock().get_mut(runner) {
+            ward.sequence = None;
+        }
+    }
+
+    fn draft(
+        &self,
+        runner: &str,
+        action: Action,
+        model: &str,
+        adapter: Option<&str>,
+    ) -> Option<(std::net::SocketAddr, Order)> {
+        let wards = self.wards.lock();
+        let ward = wards.get(runner)?;
+        let order = Order {
+            runner: runner.to_owned(),
+            action,
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+            sequence: ward.sequence?,
+            holder: self.holder.clone(),
+            fencing: self.fencing,
+        };
+        Some((ward.address, order))
+    }
+
+    fn accept(&self, order: &Order) {
+        let now = self.clock.now();
+        if let Some(ward) = self.wards.lock().get_mut(&order.runner) {
+            ward.accept(order, now);
+        }
+    }
+
+    fn holds(&self, runner: &str, action: Action, model: &str, adapter: Option<&str>) -> bool {
+        let wards = self.wards.lock();
+        let Some(ward) = wards.get(runner) else {
+            return false;
+        };
+        let is_held = match adapter {
+            Some(adapter) => ward.holds_adapter(model, adapter),
+            None => ward.holds_model(model),
+        };
+        is_held == (action == Action::Load)
+    }
+
+    /// Asks the runner what it holds and how many orders it has accepted.
+    async fn refresh(&self, runner: &str) {
+        let address = self.wards.lock().get(runner).map(|ward| ward.address);
+        let Some(address) = address else { return };
+        let reported = self.orders.report(address, runner).await;
+        let now = self.clock.now();
+        match reported {
+            Ok(report) => {
+                log::info!(
+                    runner, sequence = report.sequence, busy = report.busy,
+                    models = report.models.len();
+                    "runner reported"
+                );
+                if let Some(ward) = self.wards.lock().get_mut(runner) {
+                    ward.report(&report, now);
+                }
+            }
+            Err(error) => log::info!(runner, error:% = error; "runner does not report"),
+        }
+    }
+
+    fn log_order(&self, order: &Order, receipt: &crate::Result<Receipt>) {
+        let receipt = match receipt {
+            Ok(receipt) => receipt.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::info!(
+            runner = order.runner.as_str(), action:% = order.action,
+            model = order.model.as_str(), adapter = order.adapter.as_deref(),
+            sequence = order.sequence, fencing = order.fencing, receipt = receipt.as_str();
+            "order given"
+        );
+        self.metrics.order(order.action.to_string(), receipt);
+    }
+}
+
+/// What is next to do for an adapter.
+enum Step {
+    Done,
+    Impossible,
+    Load,
+    MakeRoom(id::Model, id::Adapter),
+}
--- /dev/null
+++ b/crates/gateway/src/ward.rs
@@ -0,0 +1,253 @@
+//! One runner as the keeper knows it, ahead of the runner's own registration.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_wire::mesh;
+use tokio::sync::Mutex;
+
+use crate::order::{Action, Order, Report};
+use crate::{id, planner};
+
+/// Time for which room is kept for the model that it was made for.
+const RESERVATION: Duration = Duration::from_secs(3);
+/// Age that a report may have.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Time without orders while a former holder's order is carried out.
+const BUSY_PAUSE: Duration = Duration::from_millis(300);
+/// Age that a registration may have.
+const MAX_LAG: Duration = Duration::from_secs(3);
+
+/// One runner under orders.
+#[derive(Clone, Debug)]
+pub(crate) struct Ward {
+    pub(crate) address: SocketAddr,
+    born_ms: u64,
+    /// Orders that the runner has accepted, once it was asked.
+    pub(crate) sequence: Option<u64>,
+    models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
+    in_memory: BTreeSet<id::Model>,
+    on_disk: BTreeSet<id::Model>,
+    /// Model order in progress and since when.
+    progress: Option<(Action, id::Model, Duration)>,
+    reserved_for: Option<(id::Model, Duration)>,
+    accepted_at: Option<Duration>,
+    /// Whether a registration lacks a model that should be there.
+    pub(crate) is_doubtful: bool,
+    /// No orders before this time, because the outcome of one is unknown.
+    pub(crate) blocked_until: Duration,
+    /// Adapters whose load was accepted lately, and when.
+    loaded: BTreeMap<(id::Model, id::Adapter), Duration>,
+    /// When each adapter was last asked for.
+    used: BTreeMap<(id::Model, id::Adapter), Duration>,
+    /// Held while an order is given, so that one follows the other.
+    pub(crate) turn: Arc<Mutex<()>>,
+}
+
+impl Ward {
+    pub(crate) fn new(
+        registration: &mesh::Registration,
+        address: SocketAddr,
+        now: Duration,
+    ) -> Self {
+        let mut ward = Self {
+            address,
+            born_ms: registration.born_ms,
+            sequence: None,
+            models: BTreeMap::new(),
+            in_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
+            progress: None,
+            reserved_for: None,
+            accepted_at: None,
+            is_doubtful: false,
+            blocked_until: Duration::ZERO,
+            loaded: BTreeMap::new(),
+            used: BTreeMap::new(),
+            turn: Arc::default(),
+        };
+        ward.observe(registration, address, now);
+        ward
+    }
+
+    /// Takes over what the runner registered.
+    pub(crate) fn observe(
+        &mut self,
+        registration: &mesh::Registration,
+        address: SocketAddr,
+        now: Duration,
+    ) {
+        if registration.born_ms != self.born_ms {
+            *self = Self::new(registration, address, now);
+            return;
+        }
+        self.address = address;
+        self.adopt(&registration.models, now);
+        self.adopt_copies(&registration.in_memory, &registration.on_disk);
+        let is_listed = |model: &str| registration.models.iter().any(|held| held.name == model);
+        if let Some((Action::Unload, model, _)) = self.progress.clone()
+            && !is_listed(&model)
+        {
+            self.models.remove(&model);
+            self.progress = None;
+        }
+        // A registration may be older than the last load, so that only a report
+        // takes a model away that nobody ordered to unload.
+        self.is_doubtful = self.progress.is_none() && self.models.keys().any(|m| !is_listed(m));
+    }
+
+    /// Takes over what the runner reported when asked.
+    pub(crate) fn report(&mut self, report: &Report, now: Duration) {
+        if self.sequence.is_some_and(|known| report.sequence < known) {
+            return;
+        }
+        if report.busy && self.progress.is_none() {
+            // An order of a former holder; what it loads is not known.
+            self.blocked_until = now + BUSY_PAUSE;
+            self.sequence = None;
+            return;
+        }
+        self.sequence = Some(report.sequence);
+        self.adopt(&report.models, now);
+        self.adopt_copies(&report.in_memory, &report.on_disk);
+        for (model, adapter) in &report.coming {
+            if let Some(adapters) = self.models.get_mut(model) {
+                adapters.insert(adapter.clone());
+            }
+        }
+        let accepted = self.accepted_at.unwrap_or_default();
+        if !report.busy && now.saturating_sub(accepted) > REPORT_LAG {
+            self.progress = None;
+            let is_listed = |model: &str| report.models.iter().any(|held| held.name == model);
+            self.models.retain(|model, _| is_listed(model));
+            self.is_doubtful = false;
+        }
+    }
+
+    // What the runner says may be older than the last adapter orders.
+    fn adopt(&mut self, models: &[mesh::Model], now: Duration) {
+        self.loaded
+            .retain(|_, at| now.saturating_sub(*at) < MAX_LAG);
+        for model in models {
+            let adapters = model.adapters.iter().cloned().collect();
+            self.models.insert(model.name.clone(), adapters);
+        }
+        for (model, adapter) in self.loaded.keys() {
+            if let Some(adapters) = self.models.get_mut(model) {
+                adapters.insert(adapter.clone());
+            }
+        }
+        if let Some((Action::Load, model, _)) = &self.progress
+            && models.iter().any(|held| held.name == *model)
+        {
+            self.progress = None;
+        }
+    }
+
+    fn adopt_copies(&mut self, in_memory: &[String], on_disk: &[String]) {
+        self.in_memory = in_memory.iter().cloned().collect();
+        self.on_disk = on_disk.iter().cloned().collect();
+    }
+
+    /// Records that the runner accepted `order`.
+    pub(crate) fn accept(&mut self, order: &Order, now: Duration) {
+        self.sequence = self.sequence.max(Some(order.sequence + 1));
+        self.accepted_at = Some(now);
+        match (&order.adapter, order.action) {
+            (None, action) => {
+                if action == Action::Load {
+                    self.reserved_for = None;
+                }
+                self.progress = Some((action, order.model.clone(), now));
+            }
+            (Some(adapter), Action::Load) => {
+                let adapters = self.models.entry(order.model.clone()).or_default();
+                adapters.insert(adapter.clone());
+                let key = (order.model.clone(), adapter.clone());
+                self.loaded.insert(key, now);
+            }
+            (Some(adapter), Action::Unload) => {
+                let key = (order.model.clone(), adapter.clone());
+                self.loaded.remove(&key);
+                if let Some(adapters) = self.models.get_mut(&order.model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn reserve(&mut self, model: &str, now: Duration) {
+        self.reserved_for = Some((model.to_owned(), now));
+    }
+
+    /// Whether a model order has been in progress for longer than `limit`.
+    pub(crate) fn is_overdue(&self, limit: Duration, now: Duration) -> bool {
+        self.progress
+            .as_ref()
+            .is_some_and(|(_, _, since)| now.saturating_sub(*since) > limit)
+    }
+
+    pub(crate) fn holds_model(&self, model: &str) -> bool {
+        let unloading = matches!(
+            &self.progress,
+            Some((Action::Unload, leaving, _)) if leaving == model
+        );
+        self.models.contains_key(model) && !unloading
+    }
+
+    pub(crate) fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
+        self.models
+            .get(model)
+            .is_some_and(|adapters| adapters.contains(adapter))
+    }
+
+    pub(crate) fn use_adapter(&mut self, model: &str, adapter: &str, now: Duration) {
+        self.used
+            .insert((model.to_owned(), adapter.to_owned()), now);
+    }
+
+    pub(crate) fn adapters(&self) -> usize {
+        self.models.values().map(BTreeSet::len).sum()
+    }
+
+    /// The adapter that was asked for the longest time ago.
+    pub(crate) fn oldest_adapter(&self) -> Option<(id::Model, id::Adapter)> {
+        self.models
+            .iter()
+            .flat_map(|(model, adapters)| {
+                adapters
+                    .iter()
+                    .map(move |adapter| (model.clone(), adapter.clone()))
+            })
+            .min_by_key(|key| self.used.get(key).copied().unwrap_or_default())
+    }
+
+    /// The planner's view of the runner.
+    pub(crate) fn view(&self, pending_tokens: u64, now: Duration) -> planner::Runner {
+        let (mut loading, mut unloading) = (None, None);
+        match &self.progress {
+            Some((Action::Load, model, _)) => loading = Some(model.clone()),
+            Some((Action::Unload, model, _)) => unloading = Some(model.clone()),
+            None => {}
+        }
+        let reserved_for = self
+            .reserved_for
+            .as_ref()
+            .filter(|(_, since)| now.saturating_sub(*since) < RESERVATION)
+            .map(|(model, _)| model.clone());
+        planner::Runner {
+            models: self.models.keys().cloned().collect(),
+            loading,
+            unloading,
+            is_busy: self.progress.is_some()
+                || now < self.blocked_until
+                || self.turn.try_lock().is_err(),
+            in_memory: self.in_memory.clone(),
+            on_disk: self.on_disk.clone(),
+            pending_tokens,
+            reserved_for,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watcher.rs
@@ -0,0 +1,132 @@
+//! The tasks that follow the store's environment and registrations.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_port::retry::Backoff;
+
+use crate::gateway::Gateway;
+use crate::{Category, Result};
+
+/// Longest wait of one feed call; a silent connection shows after it.
+const FEED_WAIT: Duration = Duration::from_secs(5);
+/// Pause between two calls that both brought changes.
+const REGISTRATIONS_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_BASE: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_secs(1);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Follows the environment until the gateway stops.
+pub(crate) async fn follow_environment(gateway: Arc<Gateway>) {
+    let mut watch = Watch::new("environment");
+    loop {
+        let result = read_environment(&gateway, watch.revision).await;
+        if !watch.settle(&gateway, result).await {
+            return;
+        }
+    }
+}
+
+async fn read_environment(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
+    let editions = &gateway.ports.editions;
+    let changes = match revision {
+        None => editions.read().await?,
+        Some(revision) => editions.follow(revision, FEED_WAIT).await?,
+    };
+    for edition in changes.changes {
+        gateway.offer(edition, "store");
+    }
+    Ok(changes.revision)
+}
+
+/// Follows the registrations until the gateway stops.
+pub(crate) async fn follow_registrations(gateway: Arc<Gateway>) {
+    let mut watch = Watch::new("registrations");
+    loop {
+        let result = read_registrations(&gateway, watch.revision).await;
+        if result.is_err() {
+            gateway.roster.note_outage(gateway.now());
+        }
+        if !watch.settle(&gateway, result).await {
+            return;
+        }
+        gateway.clock.sleep(REGISTRATIONS_PAUSE).await;
+    }
+}
+
+async fn read_registrations(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
+    let registrations = &gateway.ports.registrations;
+    let Some(revision) = revision else {
+        let changes = registrations.read().await?;
+        let now = gateway.now();
+        gateway.roster.replace(changes.changes, None, now);
+        return Ok(changes.revision);
+    };
+    let changes = registrations.follow(revision, FEED_WAIT).await?;
+    gateway.roster.apply(changes.changes, gateway.now());
+    Ok(changes.revision)
+}
+
+/// Closes idle connections and forgets runners that are gone.
+pub(crate) async fn sweep(gateway: Arc<Gateway>) {
+    loop {
+        tokio::select! {
+            () = gateway.stopped.cancelled() => return,
+            () = gateway.clock.sleep(SWEEP_INTERVAL) => {}
+        }
+        let is_known = |runner: &str| gateway.roster.get(runner).is_some();
+        gateway.pool.sweep(is_known);
+        gateway.kept.retain(is_known);
+        gateway.health.retain(is_known);
+    }
+}
+
+/// Progress of following one table.
+struct Watch {
+    name: &'static str,
+    /// Revision to go on from; `None` reads everything.
+    revision: Option<u64>,
+    backoff: Backoff,
+    is_lost: bool,
+}
+
+impl Watch {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            revision: None,
+            backoff: Backoff::new(RETRY_BASE, RETRY_MAX),
+            is_lost: false,
+        }
+    }
+
+    /// Records the outcome of a call; returns false once the gateway stops.
+    async fn settle(&mut self, gateway: &Gateway, result: Result<u64>) -> bool {
+        match result {
+            Ok(revision) => {
+                if std::mem::take(&mut self.is_lost) {
+                    log::info!(dependency = "store", feed = self.name, revision; "dependency regained");
+                }
+                self.revision = Some(revision);
+                self.backoff.reset();
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.is_lost, true) {
+                    log::warn!(
+                        dependency = "store", feed = self.name, revision = self.revision,
+                        error:% = error;
+                        "dependency lost"
+                    );
+                }
+                if error.category() == Category::HistoryLost {
+                    self.revision = None;
+                }
+                tokio::select! {
+                    () = gateway.stopped.cancelled() => return false,
+                    () = gateway.clock.sleep(self.backoff.next_delay()) => {}
+                }
+            }
+        }
+        !gateway.stopped.is_cancelled()
+    }
+}
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod roster_http;
 pub mod runner;
 pub mod runner_http;
+pub mod socket;
 pub mod table;
 pub mod table_http;
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,7 +1,10 @@
 //! CBOR encoding of the messages between instances.
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Result;
 use crate::error::Code;
-use crate::{Result, peer};
 
 /// Encodes `message`.
 ///
@@ -9,7 +12,7 @@
 ///
 /// Never: messages hold only types that CBOR can carry.
 #[must_use]
-pub fn encode(message: &peer::Message) -> Vec<u8> {
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).expect("messages encode as CBOR");
     bytes
@@ -20,7 +23,7 @@
 /// # Errors
 ///
 /// Fails if the bytes are not exactly one message.
-pub fn decode(bytes: &[u8]) -> Result<peer::Message> {
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     let mut rest = bytes;
     let message =
         ciborium::from_reader(&mut rest).map_err(|error| Code::Cbor(error.to_string()))?;
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -11,6 +11,8 @@
 )]
 
 pub mod document;
+pub mod gateway;
+pub mod mesh;
 pub mod operator;
 pub mod order;
 pub mod peer;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,9 @@
 pub mod codec;
 pub mod digest;
 pub mod document;
+pub mod gateway;
 pub mod id;
+pub mod mesh;
 pub mod operator;
 pub mod order;
 pub mod peer;
--- /dev/null
+++ b/crates/wire/src/mesh.rs
@@ -0,0 +1,3 @@
+//! Messages between gateways.
+
+pub use crate::generated::mesh::*;
--- a/crates/wire/tests/parsers.rs
+++ b/crates/wire/tests/parsers.rs
@@ -22,7 +22,7 @@
 fn no_bytes_make_a_parser_panic() {
     check(|bytes| {
         let text = text(&bytes);
-        let _ = codec::decode(&bytes);
+        let _ = codec::decode::<peer::Message>(&bytes);
         let _ = document::parse(&text);
         let _ = document::fields(&text);
         let _ = settings::parse(&text);
@@ -43,12 +43,12 @@
         code: String::new(),
     });
     let mut bytes = codec::encode(&message);
-    let decoded = codec::decode(&bytes).expect("a message");
+    let decoded: peer::Message = codec::decode(&bytes).expect("a message");
     assert_eq!(format!("{decoded:?}"), format!("{message:?}"));
     bytes.push(0);
-    assert!(codec::decode(&bytes).is_err());
+    assert!(codec::decode::<peer::Message>(&bytes).is_err());
     bytes.truncate(bytes.len() / 2);
-    assert!(codec::decode(&bytes).is_err());
+    assert!(codec::decode::<peer::Message>(&bytes).is_err());
 }
 
 #[test]
