Orders only to runners whose state was read in this tenure

Ruled out: a stale registration (none arrived). Change: a runner whose order count is not known is asked first and takes no decision.

--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -163,7 +163,9 @@
             .wards
             .lock()
             .iter()
-            .filter(|(_, ward)| ward.is_doubtful || ward.is_overdue(limit, now))
+            .filter(|(_, ward)| {
+                ward.sequence.is_none() || ward.is_doubtful || ward.is_overdue(limit, now)
+            })
             .filter(|(_, ward)| now >= ward.blocked_until && ward.turn.try_lock().is_ok())
             .map(|(runner, _)| runner.clone())
             .collect();
@@ -230,6 +232,9 @@
         let Ok(_guard) = time::timeout(MAX_TURN_WAIT, turn.lock()).await else {
             return false;
         };
+        if !self.knows_sequence(runner) {
+            self.refresh(runner).await;
+        }
         match self.next_adapter_step(runner, model, adapter) {
             Step::Done => return true,
             Step::Impossible => return false,
@@ -279,9 +284,6 @@
             if !self.may_order() {
                 return false;
             }
-            if !self.knows_sequence(runner) {
-                self.refresh(runner).await;
-            }
             let Some((address, order)) = self.draft(runner, action, model, adapter) else {
                 return false;
             };
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -242,6 +242,7 @@
             loading,
             unloading,
             is_busy: self.progress.is_some()
+                || self.sequence.is_none()
                 || now < self.blocked_until
                 || self.turn.try_lock().is_err(),
             in_memory: self.in_memory.clone(),
