Adapters counted by own orders and reports; lease found again

A renewal whose answer was lost conflicted with itself from then on. Change: after the first report a registration only ends an order in progress; leaving adapters count until a report shows them gone; Lease::resume reads the row again.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -231,6 +231,25 @@
         }
     }
 
+    /// Finds the lease again after a commit whose outcome stayed unknown or
+    /// conflicted with an earlier one of this holder.
+    ///
+    /// # Errors
+    ///
+    /// `NotKeeper` if another has taken it; else if the table does not answer.
+    pub async fn resume(&mut self) -> Result<()> {
+        let key = key::lease(&self.identity.environment);
+        let row = self.table.get(&key).await?.ok_or(Code::LeaseLost)?;
+        let lease: row::Lease = key::decode(&row.key, &row.value)?;
+        let is_own = lease.holder.as_ref() == Some(&self.identity.incarnation);
+        if !is_own || lease.fencing != self.fencing {
+            return Err(Code::LeaseLost.into());
+        }
+        self.version = row.version;
+        self.renewal = lease.renewal;
+        Ok(())
+    }
+
     /// Gives the lease up so that another instance can take it at once.
     ///
     /// # Errors
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondbank_control::Category;
 use almondbank_control::lease::{Contender, Identity, Lease};
 
 use crate::gateway::Gateway;
@@ -88,10 +89,15 @@
         }
         match lease.commit(lease.transaction()).await {
             Ok(()) => tenure.extend(lease.valid_until()),
-            Err(error) if gateway.settings.checks_fencing => {
+            Err(error) => {
                 log::info!(fencing = lease.fencing(), error:% = error; "lease is not renewed");
+                match lease.resume().await {
+                    Ok(()) => {}
+                    Err(error) if error.category() == Category::NotKeeper => return "lost",
+                    Err(_) if gateway.settings.checks_fencing => {}
+                    Err(_) => return "store does not answer",
+                }
             }
-            Err(_) => return "lost",
         }
     }
 }
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -28,6 +28,10 @@
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Time beside a load from the store after which its runner is asked.
 const OVERDUE_SLACK: Duration = Duration::from_millis(1500);
+/// Steps after which an adapter is given up.
+const MAX_ADAPTER_STEPS: u32 = 4;
+/// Time after which a runner shows that an adapter has left; its reports lag.
+const ADAPTER_WAIT: Duration = Duration::from_millis(550);
 /// Longest wait for the turn at a runner.
 const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
 
@@ -235,18 +239,24 @@
         if !self.knows_sequence(runner) {
             self.refresh(runner).await;
         }
-        match self.next_adapter_step(runner, model, adapter) {
-            Step::Done => return true,
-            Step::Impossible => return false,
-            Step::Load => {}
-            Step::MakeRoom(old_model, old_adapter) => {
-                let old = Some(old_adapter.as_str());
-                if !self.order(runner, Action::Unload, &old_model, old).await {
-                    return false;
+        for _ in 0..MAX_ADAPTER_STEPS {
+            match self.next_adapter_step(runner, model, adapter) {
+                Step::Done => return true,
+                Step::Impossible => return false,
+                Step::Load => return self.order(runner, Action::Load, model, Some(adapter)).await,
+                Step::MakeRoom(old_model, old_adapter) => {
+                    let old = Some(old_adapter.as_str());
+                    if !self.order(runner, Action::Unload, &old_model, old).await {
+                        return false;
+                    }
+                }
+                Step::Wait => {
+                    self.clock.sleep(ADAPTER_WAIT).await;
+                    self.refresh(runner).await;
                 }
             }
         }
-        self.order(runner, Action::Load, model, Some(adapter)).await
+        false
     }
 
     fn next_adapter_step(&self, runner: &str, model: &str, adapter: &str) -> Step {
@@ -262,9 +272,15 @@
         if ward.holds_adapter(model, adapter) {
             return Step::Done;
         }
+        if ward.is_leaving(model, adapter) {
+            return Step::Wait;
+        }
         if ward.adapters() < *self.adapter_slots.lock() {
             return Step::Load;
         }
+        if ward.has_leaving() {
+            return Step::Wait;
+        }
         match ward.oldest_adapter() {
             Some((model, adapter)) => Step::MakeRoom(model, adapter),
             None => Step::Impossible,
@@ -291,12 +307,11 @@
             self.log_order(&order, &receipt);
             match receipt {
                 Ok(Receipt::Accepted) => {
-                    self.accept(&order);
+                    self.update(&order, Ward::accept);
                     return true;
                 }
                 Ok(Receipt::Holds) => {
-                    self.accept(&order);
-                    self.refresh(runner).await;
+                    self.update(&order, Ward::hold);
                     return true;
                 }
                 Ok(Receipt::Stale) => {
@@ -363,10 +378,10 @@
         Some((ward.address, order))
     }
 
-    fn accept(&self, order: &Order) {
+    fn update(&self, order: &Order, change: impl Fn(&mut Ward, &Order, Duration)) {
         let now = self.clock.now();
         if let Some(ward) = self.wards.lock().get_mut(&order.runner) {
-            ward.accept(order, now);
+            change(ward, order, now);
         }
     }
 
@@ -424,4 +439,6 @@
     Impossible,
     Load,
     MakeRoom(id::Model, id::Adapter),
+    /// An adapter leaves once its last request has ended.
+    Wait,
 }
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -17,8 +17,6 @@
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time without orders while a former holder's order is carried out.
 const BUSY_PAUSE: Duration = Duration::from_millis(300);
-/// Age that a registration may have.
-const MAX_LAG: Duration = Duration::from_secs(3);
 
 /// One runner under orders.
 #[derive(Clone, Debug)]
@@ -38,8 +36,10 @@
     pub(crate) is_doubtful: bool,
     /// No orders before this time, because the outcome of one is unknown.
     pub(crate) blocked_until: Duration,
-    /// Adapters whose load was accepted lately, and when.
-    loaded: BTreeMap<(id::Model, id::Adapter), Duration>,
+    /// Adapters that go once their last request has ended.
+    leaving: BTreeSet<(id::Model, id::Adapter)>,
+    /// Version of the last registration.
+    revision: u64,
     /// When each adapter was last asked for.
     used: BTreeMap<(id::Model, id::Adapter), Duration>,
     /// Held while an order is given, so that one follows the other.
@@ -64,7 +64,8 @@
             accepted_at: None,
             is_doubtful: false,
             blocked_until: Duration::ZERO,
-            loaded: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            revision: 0,
             used: BTreeMap::new(),
             turn: Arc::default(),
         };
@@ -72,7 +73,8 @@
         ward
     }
 
-    /// Takes over what the runner registered.
+    /// Learns from a registration. Once the runner was asked, its registrations
+    /// only tell that an order is done: they may be older than the last orders.
     pub(crate) fn observe(
         &mut self,
         registration: &mesh::Registration,
@@ -84,23 +86,34 @@
             return;
         }
         self.address = address;
-        self.adopt(&registration.models, now);
+        if registration.revision <= self.revision {
+            return;
+        }
+        self.revision = registration.revision;
         self.adopt_copies(&registration.in_memory, &registration.on_disk);
+        if self.sequence.is_none() {
+            self.adopt(&registration.models);
+            return;
+        }
         let is_listed = |model: &str| registration.models.iter().any(|held| held.name == model);
-        if let Some((Action::Unload, model, _)) = self.progress.clone()
-            && !is_listed(&model)
-        {
-            self.models.remove(&model);
-            self.progress = None;
+        match self.progress.clone() {
+            Some((Action::Load, model, _)) if is_listed(&model) => {
+                self.models.insert(model, BTreeSet::new());
+                self.progress = None;
+            }
+            Some((Action::Unload, model, _)) if !is_listed(&model) => {
+                self.models.remove(&model);
+                self.progress = None;
+            }
+            Some(_) => {}
+            None => self.is_doubtful = self.models.keys().any(|model| !is_listed(model)),
         }
-        // A registration may be older than the last load, so that only a report
-        // takes a model away that nobody ordered to unload.
-        self.is_doubtful = self.progress.is_none() && self.models.keys().any(|m| !is_listed(m));
     }
 
-    /// Takes over what the runner reported when asked.
+    /// Learns from what the runner reported when asked.
     pub(crate) fn report(&mut self, report: &Report, now: Duration) {
-        if self.sequence.is_some_and(|known| report.sequence < known) {
+        let known = self.sequence;
+        if known.is_some_and(|known| report.sequence < known) {
             return;
         }
         if report.busy && self.progress.is_none() {
@@ -110,40 +123,32 @@
             return;
         }
         self.sequence = Some(report.sequence);
-        self.adopt(&report.models, now);
         self.adopt_copies(&report.in_memory, &report.on_disk);
+        let accepted = self.accepted_at.unwrap_or_default();
+        let is_settled = now.saturating_sub(accepted) > REPORT_LAG;
+        let is_ahead = known.is_none_or(|known| report.sequence > known);
+        if report.busy || !(is_settled || is_ahead) {
+            return;
+        }
+        self.progress = None;
+        self.is_doubtful = false;
+        self.adopt(&report.models);
         for (model, adapter) in &report.coming {
             if let Some(adapters) = self.models.get_mut(model) {
                 adapters.insert(adapter.clone());
             }
         }
-        let accepted = self.accepted_at.unwrap_or_default();
-        if !report.busy && now.saturating_sub(accepted) > REPORT_LAG {
-            self.progress = None;
-            let is_listed = |model: &str| report.models.iter().any(|held| held.name == model);
-            self.models.retain(|model, _| is_listed(model));
-            self.is_doubtful = false;
-        }
     }
 
-    // What the runner says may be older than the last adapter orders.
-    fn adopt(&mut self, models: &[mesh::Model], now: Duration) {
-        self.loaded
-            .retain(|_, at| now.saturating_sub(*at) < MAX_LAG);
-        for model in models {
-            let adapters = model.adapters.iter().cloned().collect();
-            self.models.insert(model.name.clone(), adapters);
-        }
-        for (model, adapter) in self.loaded.keys() {
-            if let Some(adapters) = self.models.get_mut(model) {
-                adapters.insert(adapter.clone());
-            }
-        }
-        if let Some((Action::Load, model, _)) = &self.progress
-            && models.iter().any(|held| held.name == *model)
-        {
-            self.progress = None;
-        }
+    fn adopt(&mut self, models: &[mesh::Model]) {
+        self.leaving.clear();
+        self.models = models
+            .iter()
+            .map(|model| {
+                let adapters = model.adapters.iter().cloned().collect();
+                (model.name.clone(), adapters)
+            })
+            .collect();
     }
 
     fn adopt_copies(&mut self, in_memory: &[String], on_disk: &[String]) {
@@ -151,10 +156,9 @@
         self.on_disk = on_disk.iter().cloned().collect();
     }
 
-    /// Records that the runner accepted `order`.
+    /// Records that the runner carries out `order`.
     pub(crate) fn accept(&mut self, order: &Order, now: Duration) {
-        self.sequence = self.sequence.max(Some(order.sequence + 1));
-        self.accepted_at = Some(now);
+        self.advance(order, now);
         match (&order.adapter, order.action) {
             (None, action) => {
                 if action == Action::Load {
@@ -162,22 +166,44 @@
                 }
                 self.progress = Some((action, order.model.clone(), now));
             }
-            (Some(adapter), Action::Load) => {
-                let adapters = self.models.entry(order.model.clone()).or_default();
-                adapters.insert(adapter.clone());
+            (Some(adapter), Action::Load) => self.add_adapter(&order.model, adapter),
+            (Some(adapter), Action::Unload) => {
                 let key = (order.model.clone(), adapter.clone());
-                self.loaded.insert(key, now);
+                self.leaving.insert(key);
             }
+        }
+    }
+
+    /// Records that what `order` asks for holds. An unload that holds at once
+    /// counts as an order; a load that does changes nothing.
+    pub(crate) fn hold(&mut self, order: &Order, now: Duration) {
+        match (&order.adapter, order.action) {
+            (Some(adapter), Action::Load) => self.add_adapter(&order.model, adapter),
             (Some(adapter), Action::Unload) => {
-                let key = (order.model.clone(), adapter.clone());
-                self.loaded.remove(&key);
+                self.advance(order, now);
                 if let Some(adapters) = self.models.get_mut(&order.model) {
                     adapters.remove(adapter);
                 }
             }
+            (None, Action::Load) => {
+                self.models.entry(order.model.clone()).or_default();
+            }
+            (None, Action::Unload) => {
+                self.models.remove(&order.model);
+            }
         }
     }
 
+    fn advance(&mut self, order: &Order, now: Duration) {
+        self.sequence = self.sequence.max(Some(order.sequence + 1));
+        self.accepted_at = Some(now);
+    }
+
+    fn add_adapter(&mut self, model: &str, adapter: &str) {
+        let adapters = self.models.entry(model.to_owned()).or_default();
+        adapters.insert(adapter.to_owned());
+    }
+
     pub(crate) fn reserve(&mut self, model: &str, now: Duration) {
         self.reserved_for = Some((model.to_owned(), now));
     }
@@ -198,9 +224,18 @@
     }
 
     pub(crate) fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
-        self.models
-            .get(model)
-            .is_some_and(|adapters| adapters.contains(adapter))
+        let key = (model.to_owned(), adapter.to_owned());
+        let is_held = |adapters: &BTreeSet<_>| adapters.contains(adapter);
+        self.models.get(model).is_some_and(is_held) && !self.leaving.contains(&key)
+    }
+
+    pub(crate) fn is_leaving(&self, model: &str, adapter: &str) -> bool {
+        let key = (model.to_owned(), adapter.to_owned());
+        self.leaving.contains(&key)
+    }
+
+    pub(crate) fn has_leaving(&self) -> bool {
+        !self.leaving.is_empty()
     }
 
     pub(crate) fn use_adapter(&mut self, model: &str, adapter: &str, now: Duration) {
@@ -221,6 +256,7 @@
                     .iter()
                     .map(move |adapter| (model.clone(), adapter.clone()))
             })
+            .filter(|key| !self.leaving.contains(key))
             .min_by_key(|key| self.used.get(key).copied().unwrap_or_default())
     }
 
