Leaving instances take nothing that they could not finish

Ruled out: the runner (sound). Change: 2.9 s after SIGTERM requests get 503 and Connection: close; the directory's answers are kept for 0.9 s.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -76,6 +76,10 @@
         .decode(&head)
         .map_err(|refusal| refuse(gateway, None, &refusal))?;
     let reject = |reason| refuse(gateway, Some(&call), &Refusal::new(reason));
+    if gateway.closing.is_cancelled() {
+        let refusal = Refusal::new(Reason::Leaving).after(Duration::ZERO);
+        return Err(refuse(gateway, Some(&call), &refusal));
+    }
     let environment = gateway
         .environment()
         .ok_or_else(|| reject(Reason::NoEnvironment))?;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,8 +12,9 @@
 use crate::server::{self, Purpose};
 use crate::{Result, keeper, mesh, tcp, watcher};
 
-/// Time for which callers go on using an address after it left the directory.
-const DEPARTURE: Duration = Duration::from_millis(4500);
+/// Time for which requests are taken after the instance left the directory;
+/// callers keep its list for up to three times the directory's TTL.
+const DEPARTURE: Duration = Duration::from_millis(2900);
 /// Time before the forced end at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,6 +16,8 @@
     BodyTooLong,
     /// No route of the environment matches.
     NoRoute,
+    /// The instance shuts down and could not finish the request.
+    Leaving,
     /// No environment is known yet.
     NoEnvironment,
     /// No runner of the service is usable.
@@ -72,7 +74,8 @@
             Self::NoRoute => 404,
             Self::BodyTooLong => 413,
             Self::HeadTooLong => 431,
-            Self::NoEnvironment
+            Self::Leaving
+            | Self::NoEnvironment
             | Self::NoRunner
             | Self::NoReplica
             | Self::Overloaded
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,7 +23,7 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 /// Time for which callers keep the list of addresses.
-const DIRECTORY_TTL: Duration = Duration::from_secs(2);
+const DIRECTORY_TTL: Duration = Duration::from_millis(900);
 /// Descriptors that are kept for everything but connections of callers.
 const RESERVED_FILES: usize = 600;
 
