Victims by objective and running requests; copies before the store

The log of a bad play shows (1) the replica of a busy model chosen to make room, whose unload waited 4 s for its streams while 29 requests waited for the successor; (2) a model evicted on a runner with its copy on disk and loaded at once elsewhere from the store, 6 s; (3) requests refused with servers free because the one holder could not load an adapter while it was busy; (4) removed runners still asked for reports. Change: work is counted by runner and model, the loss of a victim weighs its running requests and whether its objective allows a reload from disk, the store is no choice while a copy exists, a missing adapter makes a request wait.

--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -46,23 +46,26 @@
     inner: Mutex<Inner>,
 }
 
+/// Runner and model; the model is empty for a service without models.
+type Key = (id::Runner, id::Model);
+
 #[derive(Debug, Default)]
 struct Inner {
-    own: BTreeMap<id::Runner, Work>,
+    own: BTreeMap<Key, Work>,
     peers: BTreeMap<id::Instance, Report>,
 }
 
 #[derive(Debug)]
 struct Report {
     at: Duration,
-    loads: BTreeMap<id::Runner, Work>,
+    loads: BTreeMap<Key, Work>,
 }
 
 /// One request on a runner; dropping it ends the entry.
 #[derive(Debug)]
 pub struct Entry {
     book: Arc<Book>,
-    runner: id::Runner,
+    key: Key,
     to_read: u64,
     tokens: u64,
     has_started: bool,
@@ -72,15 +75,16 @@
     /// Enters a request that has `to_read` prompt tokens to read and will take
     /// `tokens` of memory.
     #[must_use]
-    pub fn enter(self: &Arc<Self>, runner: &str, to_read: u64, tokens: u64) -> Entry {
+    pub fn enter(self: &Arc<Self>, runner: &str, model: &str, to_read: u64, tokens: u64) -> Entry {
+        let key = (runner.to_owned(), model.to_owned());
         let mut inner = self.inner.lock();
-        let work = inner.own.entry(runner.to_owned()).or_default();
+        let work = inner.own.entry(key.clone()).or_default();
         work.pending += 1;
         work.pending_tokens += to_read;
         work.tokens += tokens;
         Entry {
             book: Arc::clone(self),
-            runner: runner.to_owned(),
+            key,
             to_read,
             tokens,
             has_started: false,
@@ -98,7 +102,7 @@
                     running: load.running,
                     tokens: load.tokens,
                 };
-                (load.runner, work)
+                ((load.runner, load.model), work)
             })
             .collect();
         let report = Report { at: now, loads };
@@ -108,14 +112,24 @@
     /// Work of all instances by runner.
     #[must_use]
     pub fn totals(&self, now: Duration) -> BTreeMap<id::Runner, Work> {
+        let mut totals: BTreeMap<id::Runner, Work> = BTreeMap::new();
+        for ((runner, _), work) in self.by_model(now) {
+            totals.entry(runner).or_default().add(work);
+        }
+        totals
+    }
+
+    /// Work of all instances by runner and model.
+    #[must_use]
+    pub fn by_model(&self, now: Duration) -> BTreeMap<(id::Runner, id::Model), Work> {
         let inner = self.inner.lock();
         let mut totals = inner.own.clone();
         for report in inner.peers.values() {
             if now.saturating_sub(report.at) > REPORT_TTL {
                 continue;
             }
-            for (runner, work) in &report.loads {
-                totals.entry(runner.clone()).or_default().add(*work);
+            for (key, work) in &report.loads {
+                totals.entry(key.clone()).or_default().add(*work);
             }
         }
         totals
@@ -128,8 +142,9 @@
         inner
             .own
             .iter()
-            .map(|(runner, work)| mesh::Load {
+            .map(|((runner, model), work)| mesh::Load {
                 runner: runner.clone(),
+                model: model.clone(),
                 running: work.running,
                 pending: work.pending,
                 pending_tokens: work.pending_tokens,
@@ -146,7 +161,7 @@
             return;
         }
         let mut inner = self.book.inner.lock();
-        if let Some(work) = inner.own.get_mut(&self.runner) {
+        if let Some(work) = inner.own.get_mut(&self.key) {
             work.pending -= 1;
             work.pending_tokens -= self.to_read;
             work.running += 1;
@@ -157,7 +172,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         let mut inner = self.book.inner.lock();
-        let Some(work) = inner.own.get_mut(&self.runner) else {
+        let Some(work) = inner.own.get_mut(&self.key) else {
             return;
         };
         work.tokens -= self.tokens;
@@ -168,7 +183,7 @@
             work.pending_tokens -= self.to_read;
         }
         if *work == Work::default() {
-            inner.own.remove(&self.runner);
+            inner.own.remove(&self.key);
         }
     }
 }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
@@ -22,7 +23,7 @@
 struct Count {
     arrivals: u64,
     waiting: u64,
-    rank: u8,
+    objective: Duration,
 }
 
 /// A request that waits for a replica; dropping it ends the wait.
@@ -34,22 +35,29 @@
 
 impl Counter {
     /// Counts a request for a model.
-    pub fn arrive(&self, service: &str, model: &str, rank: u8) {
+    pub fn arrive(&self, service: &str, model: &str, objective: Duration) {
         let mut models = self.models.lock();
         let key = (service.to_owned(), model.to_owned());
         let count = models.entry(key).or_insert(Count {
-            rank,
+            objective,
             ..Count::default()
         });
         count.arrivals += 1;
-        count.rank = count.rank.min(rank);
+        count.objective = count.objective.min(objective);
     }
 
     /// Enters a request that waits, and wakes whoever reports it.
     #[must_use]
-    pub fn wait(self: &Arc<Self>, service: &str, model: &str) -> Waiting {
+    pub fn wait(self: &Arc<Self>, service: &str, model: &str, objective: Duration) -> Waiting {
         let key = (service.to_owned(), model.to_owned());
-        self.models.lock().entry(key.clone()).or_default().waiting += 1;
+        let mut models = self.models.lock();
+        let count = models.entry(key.clone()).or_insert(Count {
+            objective,
+            ..Count::default()
+        });
+        count.waiting += 1;
+        count.objective = count.objective.min(objective);
+        drop(models);
         self.cold.notify_waiters();
         Waiting {
             counter: Arc::clone(self),
@@ -74,7 +82,7 @@
                 model: model.clone(),
                 arrivals: std::mem::take(&mut count.arrivals),
                 waiting: count.waiting,
-                rank: count.rank,
+                objective_ms: u64::try_from(count.objective.as_millis()).unwrap_or(u64::MAX),
             })
             .collect();
         models.retain(|_, count| count.waiting > 0);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,7 +1,6 @@
 //! Serves one request: finds a runner, sends, and sends again where that is
 //! allowed.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::mesh;
-use crate::pick::{self, Chosen, Pick};
+use crate::pick::{self, Chosen, Excluded, Pick};
 use crate::pool::{Connection, Failure};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{self, Relay};
@@ -32,8 +31,6 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(8);
 /// Sends of one request, rejected ones included.
 const MAX_SENDS: u32 = 4;
-/// Adapter orders that may fail for one request.
-const MAX_ADAPTER_FAILURES: u32 = 2;
 /// Longest answer that is passed on whole.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 
@@ -121,18 +118,17 @@
     let now = gateway.now();
     gateway.budget.count(&exchange.service, now);
     if let Some((_, target)) = exchange.engine().zip(exchange.call.target.as_ref()) {
-        let rank = exchange.route.rank;
+        let objective = exchange.route.objective;
         gateway
             .demand
-            .arrive(&exchange.service, &target.model, rank);
+            .arrive(&exchange.service, &target.model, objective);
     }
     let mut attempt = Attempt {
         gateway: Arc::clone(gateway),
         exchange: Arc::clone(&exchange),
-        tried: BTreeSet::new(),
+        excluded: Excluded::default(),
         sends: 0,
         runs: 0,
-        adapter_failures: 0,
         failed: None,
     };
     match attempt.run().await {
@@ -147,12 +143,11 @@
 struct Attempt {
     gateway: Arc<Gateway>,
     exchange: Arc<Exchange>,
-    tried: BTreeSet<crate::id::Runner>,
+    excluded: Excluded,
     /// Times that it was sent.
     sends: u32,
     /// Times that it may have run.
     runs: u32,
-    adapter_failures: u32,
     /// A runner's own failure, passed on if no other runner does better.
     failed: Option<Response<Body>>,
 }
@@ -172,14 +167,14 @@
                 Sent::Answer(response) => return Ok(response),
                 Sent::NotSent => {
                     self.sends -= 1;
-                    self.tried.insert(runner);
+                    self.excluded.tried.insert(runner);
                 }
                 Sent::NotRun(verdict) => {
                     self.note_not_run(&runner, verdict);
                 }
                 Sent::Failed(response) => {
                     self.runs += 1;
-                    self.tried.insert(runner);
+                    self.excluded.tried.insert(runner);
                     self.failed = Some(response);
                     if !self.may_repeat() {
                         return Err(Refusal::new(Reason::Broken));
@@ -187,7 +182,7 @@
                 }
                 Sent::Unknown(reason) => {
                     self.runs += 1;
-                    self.tried.insert(runner);
+                    self.excluded.tried.insert(runner);
                     if !self.may_repeat() {
                         return Err(Refusal::new(reason));
                     }
@@ -217,7 +212,7 @@
         let mut changed = self.gateway.roster.subscribe();
         let mut waiting = None;
         loop {
-            match pick::pick(&self.gateway, &self.exchange, &self.tried) {
+            match pick::pick(&self.gateway, &self.exchange, &self.excluded) {
                 Pick::Send(chosen) => return Ok(chosen),
                 Pick::Refuse(refusal) => return Err(self.honest(refusal)),
                 Pick::Wait(refusal) => {
@@ -232,6 +227,7 @@
                         _ = changed.changed() => {}
                         () = self.gateway.clock.sleep(RECHECK.min(left)) => {}
                     }
+                    self.excluded.without_adapter.clear();
                 }
             }
         }
@@ -244,7 +240,8 @@
             "request waits for a replica"
         );
         let demand = &self.gateway.demand;
-        Some(demand.wait(&self.exchange.service, &target.model))
+        let objective = self.exchange.route.objective;
+        Some(demand.wait(&self.exchange.service, &target.model, objective))
     }
 
     /// Makes the runner hold the adapter.
@@ -268,12 +265,7 @@
             self.gateway.clock.sleep(ADAPTER_LOAD).await;
             return true;
         }
-        self.adapter_failures += 1;
-        if self.adapter_failures >= MAX_ADAPTER_FAILURES {
-            self.tried.insert(runner.clone());
-            self.adapter_failures = 0;
-        }
-        self.gateway.clock.sleep(RECHECK).await;
+        self.excluded.without_adapter.insert(runner.clone());
         false
     }
 
@@ -315,16 +307,22 @@
             request = self.exchange.call.attempt.as_str(), runner, verdict:? = verdict;
             "runner has not run the request"
         );
+        let now = self.gateway.now();
         match (verdict, &self.exchange.call.target) {
             (Verdict::NotHeld, Some(target)) => {
-                self.gateway.roster.note_missing(runner, target);
+                self.gateway.roster.note_missing(runner, target, now);
+            }
+            (Verdict::NotRun, Some(target)) => {
+                self.gateway
+                    .roster
+                    .note_refusing(runner, &target.model, now);
             }
             (Verdict::OtherRunner, _) => {
                 self.gateway.health.refuse(runner, self.gateway.now());
-                self.tried.insert(runner.to_owned());
+                self.excluded.tried.insert(runner.to_owned());
             }
             _ => {
-                self.tried.insert(runner.to_owned());
+                self.excluded.tried.insert(runner.to_owned());
             }
         }
     }
@@ -361,9 +359,11 @@
         let Some(request) = self.request(&chosen) else {
             return Sent::Unknown(Reason::BadRequest);
         };
+        let model = exchange.call.target.as_ref();
+        let model = model.map_or("", |target| target.model.as_str());
         let entry = gateway
             .book
-            .enter(&runner, chosen.to_read, exchange.tokens());
+            .enter(&runner, model, chosen.to_read, exchange.tokens());
         gateway.kept.note(&runner, &exchange.chain, gateway.now());
         let sent_at = gateway.now();
         let response = match connection.send(request).await {
--- a/crates/gateway/src/interest.rs
+++ b/crates/gateway/src/interest.rs
@@ -25,7 +25,7 @@
     /// Requests, those in the past weighing less.
     weight: f64,
     updated: Duration,
-    rank: u8,
+    objective: Duration,
     waiting: BTreeMap<id::Instance, (Duration, u64)>,
 }
 
@@ -39,13 +39,13 @@
         for demand in demands {
             let key = (demand.service.clone(), demand.model.clone());
             let state = inner.entry(key).or_insert_with(|| State {
-                rank: demand.rank,
+                objective: Duration::from_millis(demand.objective_ms),
                 updated: now,
                 ..State::default()
             });
             state.decay(now);
             state.weight += f64::from(u32::try_from(demand.arrivals).unwrap_or(u32::MAX));
-            state.rank = demand.rank;
+            state.objective = Duration::from_millis(demand.objective_ms);
             if demand.waiting > 0 {
                 let entry = (now, demand.waiting);
                 state.waiting.insert(instance.to_owned(), entry);
@@ -69,7 +69,7 @@
                 let interest = planner::Interest {
                     rate: state.weight * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64(),
                     waiting: fresh.map(|(_, count)| count).sum(),
-                    rank: state.rank,
+                    objective: state.objective,
                 };
                 (model.clone(), interest)
             })
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -43,8 +43,17 @@
     Refuse(Refusal),
 }
 
-/// Picks a runner that is not in `tried`.
-pub(crate) fn pick(gateway: &Gateway, exchange: &Exchange, tried: &BTreeSet<id::Runner>) -> Pick {
+/// Runners that a request is not sent to.
+#[derive(Debug, Default)]
+pub(crate) struct Excluded {
+    /// Sent to before, in vain.
+    pub(crate) tried: BTreeSet<id::Runner>,
+    /// Could not load the adapter just now.
+    pub(crate) without_adapter: BTreeSet<id::Runner>,
+}
+
+/// Picks a runner that is not excluded.
+pub(crate) fn pick(gateway: &Gateway, exchange: &Exchange, excluded: &Excluded) -> Pick {
     let now = gateway.now();
     if exchange.remaining(now) <= MIN_SERVICE {
         return Pick::Refuse(Refusal::new(Reason::Expired));
@@ -58,7 +67,7 @@
             return Pick::Refuse(Refusal::new(Reason::NoReplica));
         };
         let has_copy = runners.iter().any(|runner| runner.has_copy(&target.model));
-        runners.retain(|runner| runner.holds_model(&target.model));
+        runners.retain(|runner| runner.holds_model(&target.model, now));
         if runners.is_empty() {
             let load = if has_copy {
                 model.disk_load
@@ -68,10 +77,18 @@
             return wait_for_replica(exchange, load + LOAD_SLACK, now);
         }
     }
-    runners.retain(|runner| !tried.contains(runner.id()));
+    runners.retain(|runner| !excluded.tried.contains(runner.id()));
     if runners.is_empty() {
         return Pick::Refuse(Refusal::new(Reason::Overloaded).after(BUSY_RETRY_AFTER));
     }
+    if let Some(target) = &exchange.call.target {
+        runners.retain(|runner| {
+            runner.holds_adapter(target) || !excluded.without_adapter.contains(runner.id())
+        });
+    }
+    if runners.is_empty() {
+        return Pick::Wait(Refusal::new(Reason::NoReplica).after(BUSY_RETRY_AFTER));
+    }
     choose(gateway, exchange, runners, now)
 }
 
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -4,6 +4,7 @@
 //! load them: replicas are a cache over the copies that runners keep on disk and
 //! in host memory, and a replica gives way to a model that is asked for more.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -14,6 +15,10 @@
 const STRAINED_TOKENS: u64 = 12_000;
 /// Factor by which a model must be asked for more than the one it replaces.
 const HYSTERESIS: f64 = 1.5;
+/// Worth of a model whose requests can wait for its return.
+const PATIENT_SHARE: f64 = 0.3;
+/// Loss for each request that an unload has to wait for.
+const REQUEST_LOSS: f64 = 0.2;
 /// Worth of one of several replicas, as a share of that of a single one.
 const SPARE_SHARE: f64 = 0.25;
 
@@ -32,6 +37,8 @@
     pub in_memory: BTreeSet<id::Model>,
     /// Models with a copy on disk.
     pub on_disk: BTreeSet<id::Model>,
+    /// Requests on it by model.
+    pub requests: BTreeMap<id::Model, u64>,
     /// Prompt tokens that its requests still have to read.
     pub pending_tokens: u64,
     /// Model for which room was made.
@@ -45,8 +52,8 @@
     pub rate: f64,
     /// Requests that wait for a replica.
     pub waiting: u64,
-    /// Most urgent rank of the requests.
-    pub rank: u8,
+    /// Shortest latency objective of the requests.
+    pub objective: Duration,
 }
 
 /// Everything that a decision depends on.
@@ -161,7 +168,8 @@
         }
     }
 
-    // Models without a replica that are waited for come first, by rank; then
+    // Models without a replica that are waited for come first, the
+    // shortest objective before; then
     // those whose replicas have too much to read; then those without any copy.
     fn needs(&self) -> Vec<id::Model> {
         let mut absent = Vec::new();
@@ -171,12 +179,12 @@
             let interest = self.interest(model);
             if self.replicas(model) == 0 {
                 if interest.waiting > 0 {
-                    absent.push((interest.rank, std::cmp::Reverse(interest.waiting), model));
+                    absent.push((interest.objective, Reverse(interest.waiting), model));
                 } else if !self.has_copy(model) {
                     uncovered.push(model);
                 }
             } else if self.is_strained(model) {
-                strained.push((interest.rank, model));
+                strained.push((interest.objective, model));
             }
         }
         absent.sort();
@@ -205,12 +213,14 @@
     fn place(&mut self, model: &str) {
         let interest = self.interest(model);
         let is_waited_for = interest.waiting > 0 && self.replicas(model) == 0;
+        // A copy on a runner that is busy for a moment is nearer than the store.
+        let has_copy = self.has_copy(model);
         let options = self.view.runners.iter().filter_map(|(name, runner)| {
             if self.taken.contains(name.as_str()) || runner.is_busy || runner.provides(model) {
                 return None;
             }
             let tier = runner.tier(model);
-            if tier == Tier::Store && self.store_loads == 0 {
+            if tier == Tier::Store && (self.store_loads == 0 || (is_waited_for && has_copy)) {
                 return None;
             }
             let (victim, loss) = self.victim(runner, model)?;
@@ -276,17 +286,28 @@
             .iter()
             .filter(|model| free + self.size(model) >= needed)
             .filter(|model| self.interest(model).waiting == 0)
-            .map(|model| (Some(model.as_str()), self.loss(model)))
+            .map(|model| (Some(model.as_str()), self.loss(runner, model)))
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    fn loss(&self, model: &str) -> f64 {
-        let rate = self.interest(model).rate;
-        if self.replicas(model) > 1 {
-            rate * SPARE_SHARE
+    // A model whose requests can wait for a load from disk loses little by it.
+    // Requests on the runner hold the unload back.
+    fn loss(&self, runner: &Runner, model: &str) -> f64 {
+        let interest = self.interest(model);
+        let reload = self.load_time(model, Tier::Disk) * 2;
+        let weight = if interest.objective > reload {
+            PATIENT_SHARE
         } else {
-            rate
-        }
+            1.0
+        };
+        let share = if self.replicas(model) > 1 {
+            SPARE_SHARE
+        } else {
+            1.0
+        };
+        let requests = runner.requests.get(model).copied().unwrap_or_default();
+        let held_back = f64::from(u32::try_from(requests).unwrap_or(u32::MAX));
+        interest.rate * weight * share + held_back * REQUEST_LOSS
     }
 
     fn load_time(&self, model: &str, tier: Tier) -> Duration {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -16,6 +16,10 @@
 /// Time for which a removed entry is remembered, so that an older copy of it
 /// from a peer does not bring it back.
 const TOMBSTONE_TTL: Duration = Duration::from_mins(1);
+/// Time for which a runner that refused requests for a model gets none.
+const REFUSING: Duration = Duration::from_millis(400);
+/// Time for which a runner that lacks a model gets no requests for it.
+const MISSING: Duration = Duration::from_secs(2);
 /// Time after a failed read of the store within which removals may be its doing.
 const OUTAGE_MEMORY: Duration = Duration::from_secs(2);
 
@@ -32,8 +36,8 @@
     reprieved_until: Option<Duration>,
     /// Adapters that were loaded since the registration, by model and name.
     loaded: BTreeSet<(id::Model, id::Adapter)>,
-    /// Models that the runner denied holding since the registration.
-    denied: BTreeSet<id::Model>,
+    /// Models that the runner does not serve until then, or until it registers anew.
+    denied: BTreeMap<id::Model, Duration>,
 }
 
 impl Runner {
@@ -54,10 +58,11 @@
         listed && !self.registration.draining
     }
 
-    /// Whether it holds the model.
+    /// Whether it holds the model and serves it.
     #[must_use]
-    pub fn holds_model(&self, model: &str) -> bool {
-        !self.denied.contains(model)
+    pub fn holds_model(&self, model: &str, now: Duration) -> bool {
+        let is_denied = self.denied.get(model).is_some_and(|until| now < *until);
+        !is_denied
             && self
                 .registration
                 .models
@@ -198,8 +203,17 @@
         }
     }
 
+    /// Notes that the runner refuses requests for the model, for example because
+    /// it is being unloaded.
+    pub fn note_refusing(&self, runner: &str, model: &str, now: Duration) {
+        let mut inner = self.inner.lock();
+        if let Some(runner) = inner.runners.get_mut(runner) {
+            runner.denied.insert(model.to_owned(), now + REFUSING);
+        }
+    }
+
     /// Notes that the runner does not hold what `target` needs.
-    pub fn note_missing(&self, runner: &str, target: &Target) {
+    pub fn note_missing(&self, runner: &str, target: &Target, now: Duration) {
         let mut inner = self.inner.lock();
         let Some(runner) = inner.runners.get_mut(runner) else {
             return;
@@ -217,7 +231,7 @@
                 runner.registration = Arc::new(registration);
             }
             _ => {
-                runner.denied.insert(target.model.clone());
+                runner.denied.insert(target.model.clone(), now + MISSING);
             }
         }
         drop(inner);
@@ -288,7 +302,7 @@
             removed_at: None,
             reprieved_until: None,
             loaded: BTreeSet::new(),
-            denied: BTreeSet::new(),
+            denied: BTreeMap::new(),
             registration: Arc::new(registration),
         };
         self.runners.insert(runner.id().clone(), runner);
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -116,7 +116,11 @@
                 }
             }
         }
-        wards.retain(|runner, _| gateway.roster.get(runner).is_some());
+        let is_usable = |runner: &str| {
+            let runner = gateway.roster.get(runner);
+            runner.is_some_and(|runner| runner.is_usable(now))
+        };
+        wards.retain(|runner, _| is_usable(runner));
     }
 
     fn views(
@@ -126,7 +130,7 @@
         service: &str,
         now: Duration,
     ) -> BTreeMap<id::Runner, planner::Runner> {
-        let totals = book.totals(now);
+        let by_model = book.by_model(now);
         let wards = self.wards.lock();
         gateway
             .roster
@@ -135,8 +139,13 @@
             .filter(|runner| !gateway.health.is_ejected(runner.id(), now))
             .filter_map(|runner| {
                 let ward = wards.get(runner.id())?;
-                let work = totals.get(runner.id()).copied().unwrap_or_default();
-                Some((runner.id().clone(), ward.view(work.pending_tokens, now)))
+                let work = by_model.iter().filter(|((of, _), _)| of == runner.id());
+                let pending_tokens = work.clone().map(|(_, work)| work.pending_tokens).sum();
+                let requests = work
+                    .map(|((_, model), work)| (model.clone(), work.requests()))
+                    .collect();
+                let view = ward.view(requests, pending_tokens, now);
+                Some((runner.id().clone(), view))
             })
             .collect()
     }
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -12,11 +12,11 @@
 use crate::{id, planner};
 
 /// Time for which room is kept for the model that it was made for.
-const RESERVATION: Duration = Duration::from_secs(3);
+const RESERVATION: Duration = Duration::from_secs(8);
 /// Age that a report may have.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time without orders while a former holder's order is carried out.
-const BUSY_PAUSE: Duration = Duration::from_millis(300);
+const BUSY_PAUSE: Duration = Duration::from_millis(600);
 
 /// One runner under orders.
 #[derive(Clone, Debug)]
@@ -261,7 +261,12 @@
     }
 
     /// The planner's view of the runner.
-    pub(crate) fn view(&self, pending_tokens: u64, now: Duration) -> planner::Runner {
+    pub(crate) fn view(
+        &self,
+        requests: BTreeMap<id::Model, u64>,
+        pending_tokens: u64,
+        now: Duration,
+    ) -> planner::Runner {
         let (mut loading, mut unloading) = (None, None);
         match &self.progress {
             Some((Action::Load, model, _)) => loading = Some(model.clone()),
@@ -283,6 +288,7 @@
                 || self.turn.try_lock().is_err(),
             in_memory: self.in_memory.clone(),
             on_disk: self.on_disk.clone(),
+            requests,
             pending_tokens,
             reserved_for,
         }
