--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -75,7 +75,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let ports = ports(&settings);
     let clock = Arc::clone(&ports.clock);
-    let instance = Instance::start(settings.clone(), ports).await?;
+    let instance = Instance::start(settings.clone(), ports)?;
     tokio::select! {
         _ = terminate.recv() => log::info!("asked to terminate"),
         _ = interrupt.recv() => log::info!("interrupted"),
--- a/crates/daemon/src/json_log.rs
+++ b/crates/daemon/src/json_log.rs
@@ -97,7 +97,7 @@
             .map(Value::from)
             .or_else(|| value.to_bool().map(Value::from))
             .unwrap_or_else(|| Value::from(value.to_string()));
-        if value != Value::from("None") {
+        if value != "None" {
             self.0.insert(key.to_string(), value);
         }
         Ok(())
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,7 +42,7 @@
     /// The runner has not run it and never will.
     NotRun(Verdict),
     /// No byte of it left.
-    NotSent,
+    Unsent,
     /// It may have run.
     Unknown(Reason),
 }
@@ -165,7 +165,7 @@
             let sent = self.send(*chosen).await;
             match sent {
                 Sent::Answer(response) => return Ok(response),
-                Sent::NotSent => {
+                Sent::Unsent => {
                     self.sends -= 1;
                     self.excluded.tried.insert(runner);
                 }
@@ -350,7 +350,7 @@
                     "runner cannot be connected to"
                 );
                 gateway.health.refuse(&runner, gateway.now());
-                return Sent::NotSent;
+                return Sent::Unsent;
             }
         };
         if !connection.is_reused {
@@ -368,7 +368,7 @@
         let sent_at = gateway.now();
         let response = match connection.send(request).await {
             Ok(response) => response,
-            Err(Failure::NotSent) => return Sent::NotSent,
+            Err(Failure::NotSent) => return Sent::Unsent,
             Err(Failure::Broken(error)) => {
                 log::info!(
                     request = exchange.call.attempt.as_str(), runner = runner.as_str(),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -30,7 +30,7 @@
     /// # Errors
     ///
     /// Fails if an address cannot be bound.
-    pub async fn start(mut settings: Settings, ports: Ports) -> Result<Self> {
+    pub fn start(mut settings: Settings, ports: Ports) -> Result<Self> {
         let listen = &mut settings.listen;
         let callers = bind(&mut listen.callers)?;
         let ready = bind(&mut listen.ready)?;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -55,7 +55,7 @@
                 gateway.work.spawn(serving);
             }
             Ok(_) => {
-                log::warn!(purpose:% = purpose, max_connections; "connection refused: too many")
+                log::warn!(purpose:% = purpose, max_connections; "connection refused: too many");
             }
             Err(error) => {
                 log::warn!(purpose:% = purpose, error:% = error; "connection is not accepted");
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -8,9 +8,9 @@
 use crate::id;
 
 /// Time to read one token before anything was learnt.
-const INITIAL: Duration = Duration::from_nanos(25_000);
-const MIN: Duration = Duration::from_nanos(2_000);
-const MAX: Duration = Duration::from_nanos(400_000);
+const INITIAL: Duration = Duration::from_micros(25);
+const MIN: Duration = Duration::from_micros(2);
+const MAX: Duration = Duration::from_micros(400);
 /// Time of a first token that does not depend on the prompt.
 const FIXED: Duration = Duration::from_millis(12);
 /// Shorter prompts say little about the speed.
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -108,12 +108,11 @@
         let mut wards = self.wards.lock();
         for runner in gateway.roster.usable(service, now) {
             let registration = &runner.registration;
-            match wards.get_mut(runner.id()) {
-                Some(ward) => ward.observe(registration, runner.address, now),
-                None => {
-                    let ward = Ward::new(registration, runner.address, now);
-                    wards.insert(runner.id().clone(), ward);
-                }
+            if let Some(ward) = wards.get_mut(runner.id()) {
+                ward.observe(registration, runner.address, now);
+            } else {
+                let ward = Ward::new(registration, runner.address, now);
+                wards.insert(runner.id().clone(), ward);
             }
         }
         let is_usable = |runner: &str| {
