--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,501 @@
+//! Sends a request to runners until one answers, as far as that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, http};
+use tokio::time;
+
+use crate::delivery::Delivery;
+use crate::edge::{Dispatch, Verdict};
+use crate::exchange::Exchange;
+use crate::forward::millis;
+use crate::gateway::Gateway;
+use crate::pick::{self, Chosen, Excluded, Pick};
+use crate::pool::Failure;
+use crate::refusal::{Reason, Refusal};
+use crate::route::Kind;
+use crate::{demand, mesh, relay};
+
+/// Time kept for the way back to the caller.
+const RETURN_MARGIN: Duration = Duration::from_millis(15);
+/// Pause before a look at the roster that nothing announced.
+const RECHECK: Duration = Duration::from_millis(250);
+/// Time that a runner needs to load an adapter.
+const ADAPTER_LOAD: Duration = Duration::from_millis(8);
+/// Sends of one request, rejected ones included.
+const MAX_SENDS: u32 = 4;
+/// Longest answer that is passed on whole.
+const MAX_WHOLE_BYTES: usize = 16 << 20;
+
+/// What became of one send.
+enum Sent {
+    Answer(Outcome),
+    /// The runner failed the request, which may be repeated elsewhere.
+    Failed(Outcome),
+    /// The runner has not run it and never will.
+    NotRun(Verdict),
+    /// No byte of it left.
+    Unsent,
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// A runner's answer.
+pub(crate) enum Outcome {
+    /// A whole answer.
+    Whole(Box<http::response::Parts>, Bytes),
+    /// A stream that has begun.
+    Stream(Box<Source>),
+}
+
+/// A stream from a runner.
+pub(crate) struct Source {
+    pub(crate) delivery: Delivery,
+    pub(crate) head: http::response::Parts,
+    /// First piece; `None` if the stream has none.
+    pub(crate) first: Option<Bytes>,
+    pub(crate) body: Incoming,
+}
+
+/// A request that is sent to one runner after the other.
+pub(crate) struct Attempt {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) exchange: Arc<Exchange>,
+    excluded: Excluded,
+    /// Times that it was sent.
+    sends: u32,
+    /// Times that it may have run.
+    runs: u32,
+    /// Event after which a stream goes on.
+    resume_after: Option<u64>,
+    /// A runner's own failure, passed on if no other runner does better.
+    failed: Option<Outcome>,
+}
+
+impl Attempt {
+    pub(crate) fn new(gateway: Arc<Gateway>, exchange: Arc<Exchange>) -> Self {
+        Self {
+            gateway,
+            exchange,
+            excluded: Excluded::default(),
+            sends: 0,
+            runs: 0,
+            resume_after: None,
+            failed: None,
+        }
+    }
+
+    /// Sends the request until a runner answers or nothing more may be tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal for the caller.
+    pub(crate) async fn run(&mut self) -> Result<Outcome, Refusal> {
+        match self.try_runners().await {
+            Err(refusal) => self.failed.take().ok_or(refusal),
+            outcome => outcome,
+        }
+    }
+
+    /// Goes on with a stream that broke after the event `after`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request may not be sent again or no runner takes it.
+    pub(crate) async fn resume(
+        &mut self,
+        runner: &str,
+        after: Option<u64>,
+    ) -> Result<Box<Source>, Refusal> {
+        self.runs += 1;
+        self.excluded.tried.insert(runner.to_owned());
+        if !self.may_repeat() {
+            return Err(Refusal::new(Reason::Broken));
+        }
+        self.resume_after = after;
+        match self.try_runners().await? {
+            Outcome::Stream(source) => Ok(source),
+            Outcome::Whole(..) => Err(Refusal::new(Reason::BadAnswer)),
+        }
+    }
+
+    async fn try_runners(&mut self) -> Result<Outcome, Refusal> {
+        loop {
+            let chosen = self.choose().await?;
+            if !chosen.holds_adapter && !self.load_adapter(&chosen).await {
+                continue;
+            }
+            self.permit()?;
+            self.log_send(&chosen);
+            let runner = chosen.runner.id().clone();
+            match self.send(*chosen).await {
+                Sent::Answer(outcome) => return Ok(outcome),
+                Sent::Unsent => {
+                    self.sends -= 1;
+                    self.excluded.tried.insert(runner);
+                }
+                Sent::NotRun(verdict) => self.note_not_run(&runner, verdict),
+                Sent::Failed(outcome) => {
+                    self.runs += 1;
+                    self.excluded.tried.insert(runner);
+                    self.failed = Some(outcome);
+                    if !self.may_repeat() {
+                        return Err(Refusal::new(Reason::Broken));
+                    }
+                }
+                Sent::Unknown(reason) => {
+                    self.runs += 1;
+                    self.excluded.tried.insert(runner);
+                    if !self.may_repeat() {
+                        return Err(Refusal::new(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        let route = &self.exchange.route;
+        route.is_repeatable() && self.runs < route.max_attempts
+    }
+
+    // A failure after a send that may have run must not promise the contrary.
+    fn honest(&self, refusal: Refusal) -> Refusal {
+        if self.runs == 0 || refusal.reason.status() != 503 {
+            return refusal;
+        }
+        if refusal.reason == Reason::Expired {
+            return Refusal::new(Reason::Timeout);
+        }
+        Refusal::new(Reason::Broken)
+    }
+
+    /// Waits until a runner can take the request.
+    async fn choose(&mut self) -> Result<Box<Chosen>, Refusal> {
+        let mut changed = self.gateway.roster.subscribe();
+        let mut waiting = None;
+        loop {
+            match pick::pick(&self.gateway, &self.exchange, &self.excluded) {
+                Pick::Send(chosen) => return Ok(chosen),
+                Pick::Refuse(refusal) => return Err(self.honest(refusal)),
+                Pick::Wait(refusal) => {
+                    let left = self.exchange.remaining(self.gateway.now());
+                    if left <= RETURN_MARGIN || self.failed.is_some() {
+                        return Err(self.honest(refusal));
+                    }
+                    if waiting.is_none() {
+                        waiting = self.wait_for_model();
+                    }
+                    tokio::select! {
+                        _ = changed.changed() => {}
+                        () = self.gateway.clock.sleep(RECHECK.min(left)) => {}
+                    }
+                    self.excluded.without_adapter.clear();
+                }
+            }
+        }
+    }
+
+    fn wait_for_model(&self) -> Option<demand::Waiting> {
+        let target = self.exchange.call.target.as_ref()?;
+        log::info!(
+            request = self.exchange.call.attempt.as_str(), model = target.model.as_str();
+            "request waits for a replica"
+        );
+        let demand = &self.gateway.demand;
+        let objective = self.exchange.route.objective;
+        Some(demand.wait(&self.exchange.service, &target.model, objective))
+    }
+
+    /// Makes the runner hold the adapter.
+    async fn load_adapter(&mut self, chosen: &Chosen) -> bool {
+        let Some(target) = self.exchange.call.target.as_ref() else {
+            return true;
+        };
+        let Some(adapter) = &target.adapter else {
+            return true;
+        };
+        let runner = chosen.runner.id();
+        let has = mesh::ensure_adapter(&self.gateway, runner, &target.model, adapter).await;
+        log::debug!(
+            request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+            model = target.model.as_str(), adapter = adapter.as_str(), loaded = has;
+            "adapter asked for"
+        );
+        if has {
+            let roster = &self.gateway.roster;
+            roster.note_adapter(runner, &target.model, adapter);
+            self.gateway.clock.sleep(ADAPTER_LOAD).await;
+            return true;
+        }
+        self.excluded.without_adapter.insert(runner.clone());
+        false
+    }
+
+    /// Counts a send; every one after the first needs a place in the budget.
+    fn permit(&mut self) -> Result<(), Refusal> {
+        if self.sends > 0 {
+            let now = self.gateway.now();
+            let instances = self.gateway.members.share_count(now);
+            let service = &self.exchange.service;
+            let is_allowed =
+                self.sends < MAX_SENDS && self.gateway.budget.withdraw(service, instances, now);
+            if !is_allowed {
+                return Err(self.honest(Refusal::new(Reason::NoRetry)));
+            }
+            self.gateway.metrics.retry(service);
+        }
+        self.sends += 1;
+        Ok(())
+    }
+
+    fn log_send(&self, chosen: &Chosen) {
+        log::info!(
+            request = self.exchange.call.attempt.as_str(),
+            route = self.exchange.route.name.as_str(),
+            environment = self.exchange.environment.version,
+            runner = chosen.runner.id().as_str(),
+            registration = chosen.runner.registration.revision,
+            to_read = chosen.to_read,
+            queued_tokens = chosen.queued_tokens,
+            predicted_ms = millis(chosen.predicted),
+            left_ms = millis(self.exchange.remaining(self.gateway.now())),
+            send = self.sends;
+            "request sent"
+        );
+    }
+
+    fn note_not_run(&mut self, runner: &str, verdict: Verdict) {
+        log::info!(
+            request = self.exchange.call.attempt.as_str(), runner, verdict:? = verdict;
+            "runner has not run the request"
+        );
+        let now = self.gateway.now();
+        match (verdict, &self.exchange.call.target) {
+            (Verdict::NotHeld, Some(target)) => {
+                self.gateway.roster.note_missing(runner, target, now);
+            }
+            (Verdict::NotRun, Some(target)) => {
+                self.gateway
+                    .roster
+                    .note_refusing(runner, &target.model, now);
+            }
+            (Verdict::OtherRunner, _) => {
+                self.gateway.health.refuse(runner, self.gateway.now());
+                self.excluded.tried.insert(runner.to_owned());
+            }
+            _ => {
+                self.excluded.tried.insert(runner.to_owned());
+            }
+        }
+    }
+
+    async fn send(&self, chosen: Chosen) -> Sent {
+        let exchange = &self.exchange;
+        let deadline = exchange.remaining(self.gateway.now());
+        let sending = self.send_once(chosen);
+        match time::timeout(deadline.saturating_sub(RETURN_MARGIN), sending).await {
+            Ok(sent) => sent,
+            Err(_) => Sent::Unknown(Reason::Timeout),
+        }
+    }
+
+    async fn send_once(&self, chosen: Chosen) -> Sent {
+        let gateway = &self.gateway;
+        let exchange = &self.exchange;
+        let runner = chosen.runner.id().clone();
+        let mut connection = match gateway.pool.connect(&runner, chosen.runner.address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error;
+                    "runner cannot be connected to"
+                );
+                gateway.health.refuse(&runner, gateway.now());
+                return Sent::Unsent;
+            }
+        };
+        if !connection.is_reused {
+            gateway.metrics.connection();
+        }
+        let Some(request) = self.request(&chosen) else {
+            return Sent::Unknown(Reason::BadRequest);
+        };
+        let model = exchange.call.target.as_ref();
+        let model = model.map_or("", |target| target.model.as_str());
+        let entry = gateway
+            .book
+            .enter(&runner, model, chosen.to_read, exchange.tokens());
+        gateway.kept.note(&runner, &exchange.chain, gateway.now());
+        let sent_at = gateway.now();
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(Failure::NotSent) => return Sent::Unsent,
+            Err(Failure::Broken(error)) => {
+                log::info!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error, reused = connection.is_reused;
+                    "connection broke before an answer"
+                );
+                gateway.health.fail(&runner, gateway.now());
+                return Sent::Unknown(Reason::Broken);
+            }
+        };
+        let (head, body) = response.into_parts();
+        let delivery = Delivery {
+            chosen,
+            connection,
+            entry,
+            sent_at,
+        };
+        self.receive(delivery, head, body).await
+    }
+
+    fn request(&self, chosen: &Chosen) -> Option<Request<Full<Bytes>>> {
+        let exchange = &self.exchange;
+        let dispatch = Dispatch {
+            runner: chosen.runner.id().clone(),
+            remaining: exchange
+                .remaining(self.gateway.now())
+                .saturating_sub(RETURN_MARGIN),
+            rank: exchange.route.rank,
+            resume_after: self.resume_after,
+        };
+        let address = chosen.runner.address;
+        let body = &exchange.body;
+        let edge = &self.gateway.ports.edge;
+        match edge.encode(&exchange.head, address, body.len(), &dispatch) {
+            Ok(head) => Some(Request::from_parts(head, Full::new(body.clone()))),
+            Err(error) => {
+                log::warn!(request = exchange.call.attempt.as_str(), error:% = error; "request cannot be encoded");
+                None
+            }
+        }
+    }
+
+    async fn receive(
+        &self,
+        delivery: Delivery,
+        head: http::response::Parts,
+        body: Incoming,
+    ) -> Sent {
+        let gateway = &self.gateway;
+        let exchange = &self.exchange;
+        let runner = delivery.chosen.runner.id();
+        let verdict = gateway.ports.edge.judge(&exchange.call, runner, &head);
+        match verdict {
+            Verdict::Answer => {}
+            Verdict::Foreign => {
+                log::warn!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    status = head.status.as_u16();
+                    "runner's answer is not for this request"
+                );
+                gateway.health.fail(runner, gateway.now());
+                return Sent::Unknown(Reason::BadAnswer);
+            }
+            verdict => {
+                delivery.finish(gateway, &exchange.body, &head, body).await;
+                return Sent::NotRun(verdict);
+            }
+        }
+        if head.status.is_server_error() {
+            gateway.health.err(runner);
+        }
+        if exchange.route.kind == Kind::Stream && head.status.is_success() {
+            return self.open_stream(delivery, head, body).await;
+        }
+        self.collect(delivery, head, body).await
+    }
+
+    async fn collect(
+        &self,
+        mut delivery: Delivery,
+        head: http::response::Parts,
+        body: Incoming,
+    ) -> Sent {
+        let gateway = &self.gateway;
+        let runner = delivery.chosen.runner.id().clone();
+        let collected = Limited::new(body, MAX_WHOLE_BYTES).collect().await;
+        let bytes = match collected {
+            Ok(collected) => collected.to_bytes(),
+            Err(error) => {
+                log::info!(
+                    request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error;
+                    "answer broke off"
+                );
+                gateway.health.fail(&runner, gateway.now());
+                return Sent::Unknown(Reason::Broken);
+            }
+        };
+        delivery.entry.start();
+        delivery.keep(gateway, &self.exchange.body, &head);
+        self.log_answer(&runner, head.status.as_u16());
+        let is_failure = head.status.is_server_error();
+        let outcome = Outcome::Whole(Box::new(head), bytes);
+        if is_failure {
+            return Sent::Failed(outcome);
+        }
+        gateway.health.succeed(&runner);
+        Sent::Answer(outcome)
+    }
+
+    // Waits for the first piece, so that a stream that breaks before it can
+    // still be sent elsewhere.
+    async fn open_stream(
+        &self,
+        mut delivery: Delivery,
+        head: http::response::Parts,
+        mut body: Incoming,
+    ) -> Sent {
+        let runner = delivery.chosen.runner.id().clone();
+        match relay::next(&mut body).await {
+            Ok(first) => {
+                self.note_first_piece(&mut delivery);
+                self.log_answer(&runner, head.status.as_u16());
+                self.gateway.health.succeed(&runner);
+                Sent::Answer(Outcome::Stream(Box::new(Source {
+                    delivery,
+                    head,
+                    first,
+                    body,
+                })))
+            }
+            Err(error) => {
+                log::info!(
+                    request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error;
+                    "stream broke before its first event"
+                );
+                self.gateway.health.fail(&runner, self.gateway.now());
+                Sent::Unknown(Reason::Broken)
+            }
+        }
+    }
+
+    fn note_first_piece(&self, delivery: &mut Delivery) {
+        delivery.entry.start();
+        if let Some(target) = &self.exchange.call.target {
+            let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
+            let to_read = delivery.chosen.queued_tokens;
+            self.gateway.speed.observe(&target.model, to_read, elapsed);
+        }
+    }
+
+    fn log_answer(&self, runner: &str, status: u16) {
+        let latency = self.gateway.now().saturating_sub(self.exchange.arrived);
+        let route = &self.exchange.route.name;
+        self.gateway.metrics.answer(route, latency);
+        log::info!(
+            request = self.exchange.call.attempt.as_str(), route = route.as_str(), runner,
+            status, latency_ms = millis(latency), sends = self.sends;
+            "answer passed on"
+        );
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -78,6 +78,21 @@
         self.gateway.is_ready()
     }
 
+    /// Runners that take new work.
+    #[must_use]
+    pub fn runners(&self) -> usize {
+        let now = self.gateway.now();
+        let registrations = self.gateway.roster.registrations();
+        let is_usable = |id: &str| {
+            let runner = self.gateway.roster.get(id);
+            runner.is_some_and(|runner| runner.is_usable(now))
+        };
+        registrations
+            .iter()
+            .filter(|registration| is_usable(&registration.runner))
+            .count()
+    }
+
     /// Version of the environment in force, or 0.
     #[must_use]
     pub fn environment(&self) -> u64 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,7 +60,9 @@
 pub mod speed;
 pub mod sse;
 
+mod attempt;
 mod body;
+mod delivery;
 mod error;
 mod exchange;
 mod forward;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,47 +1,55 @@
 //! Passes a runner's stream on to the caller as it arrives.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::http;
+use strum::Display;
 use tokio::sync::mpsc;
 
+use crate::attempt::{Attempt, Source};
 use crate::body::Body;
 use crate::error::Code;
-use crate::exchange::Exchange;
-use crate::forward::Delivery;
-use crate::gateway::Gateway;
+use crate::forward::millis;
+use crate::sse::Splitter;
 use crate::{Error, Result};
 
 /// Pieces on their way to a caller that reads slowly.
 const QUEUE: usize = 16;
 
-/// A stream that is being passed on.
-pub(crate) struct Relay {
-    pub(crate) gateway: Arc<Gateway>,
-    pub(crate) exchange: Arc<Exchange>,
-    pub(crate) delivery: Delivery,
-    pub(crate) head: http::response::Parts,
+/// How passing on one runner's stream ended.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+enum End {
+    Complete,
+    CallerLeft,
+    Expired,
+    Broken,
 }
 
-/// Waits for the first piece, then passes the stream on in a task of its own.
+/// Passes a stream on in a task of its own.
+pub(crate) fn start(attempt: Attempt, source: Source) -> Response<Body> {
+    let parts = attempt.gateway.ports.edge.answer(&source.head);
+    let (pieces, queue) = mpsc::channel(QUEUE);
+    let tracker = attempt.gateway.work.clone();
+    let relay = Relay {
+        splitter: attempt.exchange.route.resumable.then(Splitter::default),
+        attempt,
+        pieces,
+        bytes: 0,
+    };
+    tracker.spawn(relay.run(source));
+    Response::from_parts(parts, Body::Pieces(queue))
+}
+
+/// The next piece of a body, or `None` at its end.
 ///
 /// # Errors
 ///
-/// Fails if the stream breaks before its first piece.
-pub(crate) async fn start(mut relay: Relay, mut body: Incoming) -> Result<Body> {
-    let first = next(&mut body).await?;
-    relay.note_first_piece();
-    let (sender, pieces) = mpsc::channel(QUEUE);
-    let tracker = relay.gateway.work.clone();
-    tracker.spawn(relay.run(first, body, sender));
-    Ok(Body::Pieces(pieces))
-}
-
-async fn next(body: &mut Incoming) -> Result<Option<Bytes>> {
+/// Fails if the body breaks off.
+pub(crate) async fn next(body: &mut Incoming) -> Result<Option<Bytes>> {
     loop {
         let Some(frame) = body.frame().await else {
             return Ok(None);
@@ -53,80 +61,145 @@
     }
 }
 
+struct Relay {
+    attempt: Attempt,
+    /// Holds back what is not a whole event, on routes whose streams may go on
+    /// at another runner.
+    splitter: Option<Splitter>,
+    pieces: mpsc::Sender<Result<Bytes>>,
+    bytes: usize,
+}
+
 impl Relay {
-    fn note_first_piece(&mut self) {
-        let now = self.gateway.now();
-        self.delivery.entry.start();
-        if let Some(target) = &self.exchange.call.target {
-            let elapsed = now.saturating_sub(self.delivery.sent_at);
-            let to_read = self.delivery.chosen.queued_tokens;
-            self.gateway.speed.observe(&target.model, to_read, elapsed);
-        }
+    async fn run(mut self, source: Source) {
+        let mut source = Box::new(source);
+        let end = loop {
+            let runner = source.delivery.chosen.runner.id().clone();
+            let end = self.pass(source).await;
+            if end != End::Broken {
+                break end;
+            }
+            match self.resume(&runner).await {
+                Some(next) => source = next,
+                None => break End::Broken,
+            }
+        };
+        self.log_end(end);
     }
 
-    async fn run(
-        self,
-        first: Option<Bytes>,
-        mut body: Incoming,
-        pieces: mpsc::Sender<Result<Bytes>>,
-    ) {
-        let mut piece = first;
-        let mut bytes_passed = 0;
-        let outcome = loop {
-            let Some(bytes) = piece else { break "complete" };
-            bytes_passed += bytes.len();
-            if pieces.send(Ok(bytes)).await.is_err() {
-                break "caller left";
+    // Passes on the stream of one runner. Its connection is closed before this
+    // returns, so that the runner does not go on while another continues.
+    async fn pass(&mut self, mut source: Box<Source>) -> End {
+        let mut piece = source.first.take();
+        loop {
+            let Some(bytes) = piece else {
+                return self.complete(*source).await;
+            };
+            if !self.send(bytes).await {
+                return End::CallerLeft;
             }
-            let left = self.exchange.remaining(self.gateway.now());
+            let left = self.left();
             let received = tokio::select! {
-                received = next(&mut body) => received,
-                () = pieces.closed() => break "caller left",
-                () = self.gateway.clock.sleep(left) => Err(timeout()),
+                received = next(&mut source.body) => received,
+                () = self.pieces.closed() => return End::CallerLeft,
+                () = self.attempt.gateway.clock.sleep(left) => {
+                    self.fail(Code::Timeout.into()).await;
+                    return End::Expired;
+                }
             };
             match received {
                 Ok(next) => piece = next,
                 Err(error) => {
+                    self.note_break(&source, &error);
+                    return End::Broken;
+                }
+            }
+        }
+    }
+
+    async fn send(&mut self, bytes: Bytes) -> bool {
+        let bytes = match &mut self.splitter {
+            Some(splitter) => splitter.push(&bytes),
+            None => bytes,
+        };
+        if bytes.is_empty() {
+            return true;
+        }
+        self.bytes += bytes.len();
+        self.pieces.send(Ok(bytes)).await.is_ok()
+    }
+
+    async fn complete(&mut self, source: Source) -> End {
+        let rest = self.splitter.as_mut().map(Splitter::take_rest);
+        if let Some(rest) = rest.filter(|rest| !rest.is_empty())
+            && self.pieces.send(Ok(rest)).await.is_err()
+        {
+            return End::CallerLeft;
+        }
+        let gateway = &self.attempt.gateway;
+        let body = &self.attempt.exchange.body;
+        source.delivery.keep(gateway, body, &source.head);
+        End::Complete
+    }
+
+    async fn resume(&mut self, runner: &str) -> Option<Box<Source>> {
+        let after = match &mut self.splitter {
+            Some(splitter) => {
+                splitter.take_rest();
+                splitter.last_id()
+            }
+            None => None,
+        };
+        let is_resumable = self.splitter.is_some() && (after.is_some() || self.bytes == 0);
+        if is_resumable {
+            match self.attempt.resume(runner, after).await {
+                Ok(source) => {
                     log::info!(
-                        request = self.exchange.call.attempt.as_str(),
-                        runner = self.delivery.chosen.runner.id().as_str(),
-                        error:% = error, bytes_passed;
-                        "stream broke off"
+                        request = self.attempt.exchange.call.attempt.as_str(), after;
+                        "stream resumed"
                     );
-                    let runner = self.delivery.chosen.runner.id();
-                    self.gateway.health.fail(runner, self.gateway.now());
-                    // The caller may have left at the same moment.
-                    let _ = pieces.send(Err(error)).await;
-                    break "broken";
+                    return Some(source);
                 }
+                Err(refusal) => log::info!(
+                    request = self.attempt.exchange.call.attempt.as_str(), after,
+                    reason:% = refusal.reason;
+                    "stream cannot be resumed"
+                ),
             }
-        };
-        self.log_end(outcome, bytes_passed);
-        if outcome == "complete" {
-            let Self {
-                gateway,
-                exchange,
-                delivery,
-                head,
-            } = self;
-            delivery.keep(&gateway, &exchange.body, &head);
         }
+        self.fail(Code::Broken("the runner's stream broke off".to_owned()).into())
+            .await;
+        None
     }
 
-    fn log_end(&self, outcome: &str, bytes_passed: usize) {
-        let duration = self.gateway.now().saturating_sub(self.exchange.arrived);
+    async fn fail(&self, error: Error) {
+        // The caller may have left at the same moment.
+        let _ = self.pieces.send(Err(error)).await;
+    }
+
+    fn left(&self) -> Duration {
+        let now = self.attempt.gateway.now();
+        self.attempt.exchange.remaining(now)
+    }
+
+    fn note_break(&self, source: &Source, error: &Error) {
+        let runner = source.delivery.chosen.runner.id();
+        log::info!(
+            request = self.attempt.exchange.call.attempt.as_str(), runner = runner.as_str(),
+            error:% = error, bytes = self.bytes;
+            "stream broke off"
+        );
+        let gateway = &self.attempt.gateway;
+        gateway.health.fail(runner, gateway.now());
+    }
+
+    fn log_end(&self, end: End) {
+        let exchange = &self.attempt.exchange;
+        let duration = self.attempt.gateway.now().saturating_sub(exchange.arrived);
         log::info!(
-            request = self.exchange.call.attempt.as_str(), outcome, bytes_passed,
+            request = exchange.call.attempt.as_str(), outcome:% = end, bytes = self.bytes,
             duration_ms = millis(duration);
             "stream ended"
         );
     }
 }
-
-fn timeout() -> Error {
-    Code::Timeout.into()
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
