Followers pass registrations on; a restarted holder takes its lease back

After all instances lost power nobody held the lease for 4 to 5 s, since each contender waits a whole term. Ruled out: a shorter term (it is the users' bound). Change: the keeper and the two first by name follow and push changes to the others, who ask when they find a gap; a holder that names an earlier run of the contender's own instance has ended.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -16,7 +16,7 @@
 use almondbank_wire::{id, row};
 
 use crate::error::Code;
-use crate::{Result, audit, key};
+use crate::{Result, audit, key, membership};
 
 const MARGIN_PERCENT: u32 = 10;
 const PERCENT: u32 = 100;
@@ -87,7 +87,11 @@
             return self.take(ABSENT, 0, Vec::new()).await;
         };
         let lease: row::Lease = key::decode(&row.key, &row.value)?;
-        let free = lease.holder.is_none();
+        let is_own = lease
+            .holder
+            .as_ref()
+            .is_some_and(|holder| self.is_own_former(holder));
+        let free = lease.holder.is_none() || is_own;
         if !free && self.unchanged_for(&row, read_at) < self.identity.term {
             return Ok(None);
         }
@@ -96,6 +100,13 @@
         self.take(row.version, fencing, former).await
     }
 
+    // The VM runs one process of this instance at a time, so that an earlier
+    // run of it has ended.
+    fn is_own_former(&self, holder: &str) -> bool {
+        let own = &self.identity.incarnation;
+        holder != own && membership::instance_of(holder) == membership::instance_of(own)
+    }
+
     // Counts from after the first sighting was answered, to before this read
     // was sent: the shortest time that the row can have stood.
     fn unchanged_for(&mut self, row: &Row, read_at: Duration) -> Duration {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,14 +1,16 @@
 //! What the tasks of one gateway share.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use almondbank_control::membership;
 use almondbank_port::clock::Clock;
 use almondbank_port::table::Table;
 use almondbank_wire::gateway::Settings;
 use almondbank_wire::mesh;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,6 +33,9 @@
 use crate::tenure::Tenure;
 use crate::{Result, id};
 
+/// Changes that wait to be passed on to a peer.
+const NEWS_QUEUE: usize = 64;
+
 /// What surrounds a gateway.
 #[derive(Clone, Debug)]
 pub struct Ports {
@@ -70,6 +75,10 @@
     pub(crate) links: Links,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    /// Whether this instance reads the store's feed, and the store answers.
+    pub(crate) follows: AtomicBool,
+    /// Changes of the registrations for the peers that do not.
+    pub(crate) news: broadcast::Sender<Arc<mesh::Registry>>,
     /// The lease that this instance holds, if it does.
     pub(crate) tenure: Mutex<Option<Arc<Tenure>>>,
     /// Cancelled when the instance begins to leave.
@@ -84,10 +93,9 @@
 
 impl Gateway {
     pub(crate) fn new(settings: Settings, ports: Ports) -> Result<Self> {
-        let run: u64 = rand::random();
         let clock = Arc::clone(&ports.clock);
         Ok(Self {
-            incarnation: format!("{}-{run:016x}", settings.instance),
+            incarnation: membership::incarnation(&settings.instance),
             edition: RwLock::default(),
             version: watch::Sender::new(0),
             roster: Roster::new(settings.reconcile),
@@ -102,6 +110,8 @@
             links: Links::default(),
             pool: Pool::new(Arc::clone(&clock)),
             metrics: Metrics::new()?,
+            follows: AtomicBool::new(false),
+            news: broadcast::Sender::new(NEWS_QUEUE),
             tenure: Mutex::default(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -171,6 +181,7 @@
             environment: *self.version.borrow(),
             registry: self.roster.newest(),
             keeper: self.tenure().map_or(0, |tenure| tenure.fencing()),
+            follows: self.follows.load(Ordering::Relaxed),
             loads: self.book.own(),
             demands: self.demand.take(),
             kept: self.kept.take_news(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod edge;
 pub mod environment;
 pub mod feed;
+pub mod follower;
 pub mod health;
 pub mod id;
 pub mod interest;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -33,6 +33,8 @@
     pub is_leaving: bool,
     /// Fencing number of the lease that it says it holds, or 0.
     pub keeper: id::Fencing,
+    /// Whether it reads the store's feed, and the store answers.
+    pub follows: bool,
     /// Version of its environment.
     pub environment: u64,
     /// Newest registration that it knows.
@@ -67,6 +69,7 @@
             is_ready: false,
             is_leaving: false,
             keeper: 0,
+            follows: false,
             environment: 0,
             registry: 0,
         };
@@ -87,6 +90,7 @@
         member.is_ready = status.ready;
         member.is_leaving = status.leaving;
         member.keeper = status.keeper;
+        member.follows = status.follows;
         member.environment = status.environment;
         member.registry = status.registry;
     }
@@ -119,6 +123,23 @@
             .map(|(instance, member)| (instance.clone(), member.keeper))
     }
 
+    /// Live instances that follow the store.
+    #[must_use]
+    pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
+        let inner = self.inner.lock();
+        let following = inner
+            .iter()
+            .filter(|(_, member)| member.is_live(now) && member.follows);
+        following.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Whether the instance follows the store itself.
+    #[must_use]
+    pub fn is_follower(&self, instance: &str) -> bool {
+        let inner = self.inner.lock();
+        inner.get(instance).is_some_and(|member| member.follows)
+    }
+
     /// Instances that may be sending retries, this one included.
     #[must_use]
     pub fn share_count(&self, now: Duration) -> usize {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -166,6 +166,7 @@
     backoff: &mut Backoff,
 ) -> Result<()> {
     let mut statuses = reports.subscribe();
+    let mut news = gateway.news.subscribe();
     let (mut writer, mut reader) = time::timeout(CONNECT_TIMEOUT, connect(address))
         .await
         .map_err(|_| Code::Timeout)??;
@@ -190,6 +191,12 @@
                     }
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
+                changes = news.recv() => match changes {
+                    Ok(_) if gateway.members.is_follower(&peer.instance) => continue,
+                    Ok(changes) => Message::Registry((*changes).clone()),
+                    // The peer notices the gap and asks.
+                    Err(_) => continue,
+                },
             };
             time::timeout(SILENCE, writer.send(&message))
                 .await
@@ -345,18 +352,13 @@
             }
         }
         Message::Registry(registry) => {
-            log::info!(
-                peer = peer.instance.as_str(), revision = registry.revision,
-                known = gateway.roster.newest();
-                "registrations taken from a peer"
-            );
             let now = gateway.now();
-            if registry.revision > gateway.roster.newest() {
-                let revision = Some(registry.revision);
-                gateway
-                    .roster
-                    .replace(registry.registrations, revision, now);
-            }
+            let (revision, known) = (registry.revision, gateway.roster.newest());
+            let is_taken = gateway.roster.merge(registry, now);
+            log::debug!(
+                peer = peer.instance.as_str(), revision, known, taken = is_taken;
+                "registrations from a peer"
+            );
         }
         message => log::warn!(
             peer = peer.instance.as_str(), message:? = message;
@@ -380,8 +382,10 @@
     }
     if gateway.roster.newest() > fetch.registry {
         link.offer(Message::Registry(mesh::Registry {
+            after: None,
             revision: gateway.roster.newest(),
             registrations: gateway.roster.registrations(),
+            removed: Vec::new(),
         }));
     }
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -155,7 +155,7 @@
                 Change::Put(registration) => inner.put(registration, now),
                 Change::Removed(runner, revision) => {
                     inner.newest = inner.newest.max(revision);
-                    inner.remove(&runner, now, self.reconcile);
+                    inner.remove(&runner, revision, now, self.reconcile);
                 }
             }
         }
@@ -186,7 +186,7 @@
             .cloned()
             .collect();
         for runner in missing {
-            inner.remove(&runner, now, self.reconcile);
+            inner.remove(&runner, u64::MAX, now, self.reconcile);
         }
         inner.newest = inner.newest.max(revision.unwrap_or_default());
         inner.is_known = true;
@@ -195,6 +195,29 @@
         self.notify();
     }
 
+    /// Takes over what a peer knows; returns false if it is older than what is
+    /// known, or if changes before it are missing.
+    pub fn merge(&self, registry: mesh::Registry, now: Duration) -> bool {
+        let newest = self.newest();
+        if registry.revision <= newest {
+            return false;
+        }
+        match registry.after {
+            None => {
+                self.replace(registry.registrations, Some(registry.revision), now);
+                true
+            }
+            Some(after) if after <= newest => {
+                let gone = registry.removed.into_iter();
+                let gone = gone.map(|removed| Change::Removed(removed.runner, removed.revision));
+                let put = registry.registrations.into_iter().map(Change::Put);
+                self.apply(gone.chain(put).collect(), now);
+                true
+            }
+            Some(_) => false,
+        }
+    }
+
     /// Notes that the runner accepted the adapter.
     pub fn note_adapter(&self, runner: &str, model: &str, adapter: &str) {
         let mut inner = self.inner.lock();
@@ -309,14 +332,14 @@
     }
 
     // While the store was away, entries of live runners may have lapsed.
-    fn remove(&mut self, runner: &str, now: Duration, reconcile: Duration) {
+    fn remove(&mut self, runner: &str, revision: u64, now: Duration, reconcile: Duration) {
         let failed_lately = self
             .failed_at
             .is_some_and(|failed| now.saturating_sub(failed) < OUTAGE_MEMORY);
         let Some(runner) = self.runners.get_mut(runner) else {
             return;
         };
-        if runner.removed_at.is_some() {
+        if runner.removed_at.is_some() || revision < runner.registration.revision {
             return;
         }
         runner.removed_at = Some(now);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,15 +1,22 @@
 //! The tasks that follow the store's environment and registrations.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use almondbank_port::retry::Backoff;
+use almondbank_wire::mesh;
 
+use crate::feed::Change;
 use crate::gateway::Gateway;
-use crate::{Category, Result};
+use crate::{Category, Result, follower};
 
-/// Longest wait of one feed call; a silent connection shows after it.
+/// Longest wait for changes of the registrations; a silent connection shows after it.
 const FEED_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for an edition; peers tell of one that a silent connection hides.
+const EDITION_WAIT: Duration = Duration::from_secs(12);
+/// Time between two looks at whether this instance has to follow.
+const FOLLOWER_CHECK: Duration = Duration::from_millis(200);
 /// Pause between two calls that both brought changes.
 const REGISTRATIONS_PAUSE: Duration = Duration::from_millis(150);
 const RETRY_BASE: Duration = Duration::from_millis(100);
@@ -31,7 +38,7 @@
     let editions = &gateway.ports.editions;
     let changes = match revision {
         None => editions.read().await?,
-        Some(revision) => editions.follow(revision, FEED_WAIT).await?,
+        Some(revision) => editions.follow(revision, EDITION_WAIT).await?,
     };
     for edition in changes.changes {
         gateway.offer(edition, "store");
@@ -39,11 +46,12 @@
     Ok(changes.revision)
 }
 
-/// Follows the registrations until the gateway stops.
+/// Follows the registrations while this instance is one of the followers.
 pub(crate) async fn follow_registrations(gateway: Arc<Gateway>) {
     let mut watch = Watch::new("registrations");
     loop {
         let result = read_registrations(&gateway, watch.revision).await;
+        gateway.follows.store(result.is_ok(), Ordering::Relaxed);
         if result.is_err() {
             gateway.roster.note_outage(gateway.now());
         }
@@ -51,9 +59,24 @@
             return;
         }
         gateway.clock.sleep(REGISTRATIONS_PAUSE).await;
+        if !is_follower(&gateway) {
+            log::info!("registrations are taken from peers");
+            gateway.follows.store(false, Ordering::Relaxed);
+            watch.revision = None;
+            while !is_follower(&gateway) {
+                gateway.clock.sleep(FOLLOWER_CHECK).await;
+            }
+            log::info!("registrations are read from the store");
+        }
     }
 }
 
+fn is_follower(gateway: &Gateway) -> bool {
+    let followers = gateway.members.followers(gateway.now());
+    let is_keeper = gateway.tenure().is_some();
+    follower::is_follower(&gateway.settings.instance, is_keeper, followers.iter())
+}
+
 async fn read_registrations(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
     let registrations = &gateway.ports.registrations;
     let Some(revision) = revision else {
@@ -63,10 +86,40 @@
         return Ok(changes.revision);
     };
     let changes = registrations.follow(revision, FEED_WAIT).await?;
-    gateway.roster.apply(changes.changes, gateway.now());
+    if !changes.changes.is_empty() {
+        pass_on(gateway, &changes.changes);
+        gateway.roster.apply(changes.changes, gateway.now());
+    }
     Ok(changes.revision)
 }
 
+fn pass_on(gateway: &Gateway, changes: &[Change]) {
+    let mut registry = mesh::Registry {
+        after: Some(gateway.roster.newest()),
+        revision: 0,
+        registrations: Vec::new(),
+        removed: Vec::new(),
+    };
+    for change in changes {
+        let revision = match change {
+            Change::Put(registration) => {
+                registry.registrations.push(registration.clone());
+                registration.revision
+            }
+            Change::Removed(runner, revision) => {
+                registry.removed.push(mesh::Removed {
+                    runner: runner.clone(),
+                    revision: *revision,
+                });
+                *revision
+            }
+        };
+        registry.revision = registry.revision.max(revision);
+    }
+    // Nobody listens while this instance is alone.
+    let _ = gateway.news.send(Arc::new(registry));
+}
+
 /// Closes idle connections and forgets runners that are gone.
 pub(crate) async fn sweep(gateway: Arc<Gateway>) {
     loop {
