Replicas by the share of time that they read; loads told at once

Change: the planner adds a replica when reading takes over 0.3 of the replicas' time; a prompt of 2,000 tokens or more is told to the others at once.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -331,6 +331,8 @@
         let entry = gateway
             .book
             .enter(&runner, model, chosen.to_read, exchange.tokens());
+        let service = &exchange.service;
+        gateway.demand.send(service, model, chosen.to_read);
         gateway.kept.note(&runner, &exchange.chain, gateway.now());
         let sent_at = gateway.now();
         let response = match connection.send(request).await {
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -10,18 +10,22 @@
 
 use crate::id;
 
+/// Tokens of one request that the others should know of before they send theirs.
+const URGENT_TOKENS: u64 = 2_000;
+
 type Key = (id::Service, id::Model);
 
 /// Requests since the last report.
 #[derive(Debug, Default)]
 pub struct Counter {
     models: Mutex<BTreeMap<Key, Count>>,
-    cold: Notify,
+    urgent: Notify,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
     arrivals: u64,
+    tokens: u64,
     waiting: u64,
     objective: Duration,
 }
@@ -46,6 +50,18 @@
         count.objective = count.objective.min(objective);
     }
 
+    /// Counts prompt tokens that a runner was sent to read, and wakes whoever
+    /// reports them if they are many.
+    pub fn send(&self, service: &str, model: &str, tokens: u64) {
+        let key = (service.to_owned(), model.to_owned());
+        if let Some(count) = self.models.lock().get_mut(&key) {
+            count.tokens += tokens;
+        }
+        if tokens >= URGENT_TOKENS {
+            self.urgent.notify_waiters();
+        }
+    }
+
     /// Enters a request that waits, and wakes whoever reports it.
     #[must_use]
     pub fn wait(self: &Arc<Self>, service: &str, model: &str, objective: Duration) -> Waiting {
@@ -58,16 +74,16 @@
         count.waiting += 1;
         count.objective = count.objective.min(objective);
         drop(models);
-        self.cold.notify_waiters();
+        self.urgent.notify_waiters();
         Waiting {
             counter: Arc::clone(self),
             key,
         }
     }
 
-    /// Completes when a request begins to wait.
-    pub async fn cold(&self) {
-        self.cold.notified().await;
+    /// Completes when there is something that the others should hear at once.
+    pub async fn urgent(&self) {
+        self.urgent.notified().await;
     }
 
     /// Takes the arrivals since the last call, with the requests that wait now.
@@ -76,16 +92,16 @@
         let mut models = self.models.lock();
         let demands = models
             .iter_mut()
-            .filter(|(_, count)| count.arrivals > 0 || count.waiting > 0)
+            .filter(|(_, count)| count.arrivals > 0 || count.tokens > 0 || count.waiting > 0)
             .map(|((service, model), count)| mesh::Demand {
                 service: service.clone(),
                 model: model.clone(),
                 arrivals: std::mem::take(&mut count.arrivals),
+                tokens: std::mem::take(&mut count.tokens),
                 waiting: count.waiting,
                 objective_ms: u64::try_from(count.objective.as_millis()).unwrap_or(u64::MAX),
             })
             .collect();
-        models.retain(|_, count| count.waiting > 0);
         demands
     }
 }
--- a/crates/gateway/src/interest.rs
+++ b/crates/gateway/src/interest.rs
@@ -24,6 +24,8 @@
 struct State {
     /// Requests, those in the past weighing less.
     weight: f64,
+    /// Prompt tokens that were to be read, those in the past weighing less.
+    tokens: f64,
     updated: Duration,
     objective: Duration,
     waiting: BTreeMap<id::Instance, (Duration, u64)>,
@@ -44,7 +46,8 @@
                 ..State::default()
             });
             state.decay(now);
-            state.weight += f64::from(u32::try_from(demand.arrivals).unwrap_or(u32::MAX));
+            state.weight += float(demand.arrivals);
+            state.tokens += float(demand.tokens);
             state.objective = Duration::from_millis(demand.objective_ms);
             if demand.waiting > 0 {
                 let entry = (now, demand.waiting);
@@ -56,6 +59,7 @@
     /// Interest in the models of `service`.
     #[must_use]
     pub fn of(&self, service: &str, now: Duration) -> BTreeMap<id::Model, planner::Interest> {
+        let per_second = std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
         let mut inner = self.inner.lock();
         inner
             .iter_mut()
@@ -67,7 +71,8 @@
                     .values()
                     .filter(|(at, _)| now.saturating_sub(*at) < WAITING_TTL);
                 let interest = planner::Interest {
-                    rate: state.weight * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64(),
+                    rate: state.weight * per_second,
+                    tokens: state.tokens * per_second,
                     waiting: fresh.map(|(_, count)| count).sum(),
                     objective: state.objective,
                 };
@@ -80,7 +85,13 @@
 impl State {
     fn decay(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.updated);
-        self.weight *= 0.5_f64.powf(elapsed.div_duration_f64(HALF_LIFE));
+        let factor = 0.5_f64.powf(elapsed.div_duration_f64(HALF_LIFE));
+        self.weight *= factor;
+        self.tokens *= factor;
         self.updated = now;
     }
 }
+
+fn float(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -113,7 +113,7 @@
         gateway.clock.sleep(MIN_PLAN_INTERVAL).await;
         tokio::select! {
             _ = changed.changed() => {}
-            () = gateway.demand.cold() => {}
+            () = gateway.demand.urgent() => {}
             () = gateway.clock.sleep(PLAN_INTERVAL) => {}
         }
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -62,7 +62,7 @@
         gateway.clock.sleep(MIN_STATUS_INTERVAL).await;
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
-            () = gateway.demand.cold() => {}
+            () = gateway.demand.urgent() => {}
             _ = version.changed() => {}
             () = gateway.leaving.cancelled(), if !gateway.leaving.is_cancelled() => {}
             () = gateway.clock.sleep(STATUS_INTERVAL) => {}
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -13,6 +13,8 @@
 
 /// Prompt tokens waiting on every replica above which a model gets another one.
 const STRAINED_TOKENS: u64 = 12_000;
+/// Share of its time that a replica may read prompts.
+const UTILIZATION: f64 = 0.3;
 /// Factor by which a model must be asked for more than the one it replaces.
 const HYSTERESIS: f64 = 1.5;
 /// Worth of a model whose requests can wait for its return.
@@ -50,6 +52,8 @@
 pub struct Interest {
     /// Requests in a second, newer ones weighing more.
     pub rate: f64,
+    /// Prompt tokens in a second that replicas have to read.
+    pub tokens: f64,
     /// Requests that wait for a replica.
     pub waiting: u64,
     /// Shortest latency objective of the requests.
@@ -65,6 +69,8 @@
     pub runners: BTreeMap<id::Runner, Runner>,
     /// Interest by model.
     pub interests: BTreeMap<id::Model, Interest>,
+    /// Time that a replica takes to read a prompt token, by model.
+    pub token_times: BTreeMap<id::Model, Duration>,
     /// Loads from the weight store that may begin now.
     pub store_loads: usize,
 }
@@ -199,7 +205,15 @@
         runners.any(|runner| runner.tier(model) != Tier::Store)
     }
 
+    // Whether the replicas read prompts for too much of their time, or all have
+    // too much to read just now.
     fn is_strained(&self, model: &str) -> bool {
+        let token = self.view.token_times.get(model).copied();
+        let busy = self.interest(model).tokens * token.unwrap_or_default().as_secs_f64();
+        let replicas = f64::from(u32::try_from(self.replicas(model)).unwrap_or(u32::MAX));
+        if busy > replicas * UTILIZATION {
+            return true;
+        }
         let mut runners = self.view.runners.values();
         let provided = runners.clone().any(|runner| runner.provides(model));
         provided
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -31,6 +31,16 @@
         self.models.lock().get(model).copied().unwrap_or(INITIAL)
     }
 
+    /// Time to read one token, for each of `models`.
+    pub fn tokens<'a>(
+        &self,
+        models: impl Iterator<Item = &'a id::Model>,
+    ) -> BTreeMap<id::Model, Duration> {
+        models
+            .map(|model| (model.clone(), self.token(model)))
+            .collect()
+    }
+
     /// Time to the first token of a request that finds `to_read` tokens to read,
     /// its own and those before it.
     #[must_use]
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -97,6 +97,7 @@
             engine,
             runners: self.views(&gateway.book, gateway, service, now),
             interests: gateway.interests.of(service, now),
+            token_times: gateway.speed.tokens(engine.models.keys()),
             store_loads: self.store_loads_left(engine, now),
         };
         for decision in planner::decide(&view) {
