Feeds give a silent store up in time; tests of policy and of the whole path

Ruled out: the store turning machines away (others served), the relay (nobody knew the new version).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -63,6 +63,8 @@
     edition: RwLock<Option<Edition>>,
     /// Version of the environment in force.
     pub(crate) version: watch::Sender<u64>,
+    /// Newest version of the environment that a peer told of.
+    pub(crate) heard: watch::Sender<u64>,
     pub(crate) roster: Roster,
     pub(crate) book: Arc<Book>,
     pub(crate) kept: Kept,
@@ -98,6 +100,7 @@
             incarnation: membership::incarnation(&settings.instance),
             edition: RwLock::default(),
             version: watch::Sender::new(0),
+            heard: watch::Sender::new(0),
             roster: Roster::new(settings.reconcile),
             book: Arc::default(),
             kept: Kept::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod service;
 pub mod speed;
 pub mod sse;
+pub mod ward;
 
 mod attempt;
 mod body;
@@ -79,7 +80,7 @@
 mod server;
 mod tcp;
 mod tenure;
-mod ward;
+
 mod watcher;
 
 pub use error::{Category, Error, Result};
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -326,6 +326,11 @@
         environment: *gateway.version.borrow(),
         registry: gateway.roster.newest(),
     };
+    gateway.heard.send_if_modified(|heard| {
+        let is_newer = status.environment > *heard;
+        *heard = (*heard).max(status.environment);
+        is_newer
+    });
     let is_behind = status.environment > fetch.environment || status.registry > fetch.registry;
     if !is_behind {
         *behind_since = None;
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -20,11 +20,12 @@
 
 /// One runner under orders.
 #[derive(Clone, Debug)]
-pub(crate) struct Ward {
-    pub(crate) address: SocketAddr,
+pub struct Ward {
+    /// Where it listens.
+    pub address: SocketAddr,
     born_ms: u64,
     /// Orders that the runner has accepted, once it was asked.
-    pub(crate) sequence: Option<u64>,
+    pub sequence: Option<u64>,
     models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
     in_memory: BTreeSet<id::Model>,
     on_disk: BTreeSet<id::Model>,
@@ -33,9 +34,9 @@
     reserved_for: Option<(id::Model, Duration)>,
     accepted_at: Option<Duration>,
     /// Whether a registration lacks a model that should be there.
-    pub(crate) is_doubtful: bool,
+    pub is_doubtful: bool,
     /// No orders before this time, because the outcome of one is unknown.
-    pub(crate) blocked_until: Duration,
+    pub blocked_until: Duration,
     /// Adapters that go once their last request has ended.
     leaving: BTreeSet<(id::Model, id::Adapter)>,
     /// Version of the last registration.
@@ -43,15 +44,13 @@
     /// When each adapter was last asked for.
     used: BTreeMap<(id::Model, id::Adapter), Duration>,
     /// Held while an order is given, so that one follows the other.
-    pub(crate) turn: Arc<Mutex<()>>,
+    pub turn: Arc<Mutex<()>>,
 }
 
 impl Ward {
-    pub(crate) fn new(
-        registration: &mesh::Registration,
-        address: SocketAddr,
-        now: Duration,
-    ) -> Self {
+    /// Starts with what the runner registered.
+    #[must_use]
+    pub fn new(registration: &mesh::Registration, address: SocketAddr, now: Duration) -> Self {
         let mut ward = Self {
             address,
             born_ms: registration.born_ms,
@@ -75,7 +74,7 @@
 
     /// Learns from a registration. Once the runner was asked, its registrations
     /// only tell that an order is done: they may be older than the last orders.
-    pub(crate) fn observe(
+    pub fn observe(
         &mut self,
         registration: &mesh::Registration,
         address: SocketAddr,
@@ -111,7 +110,7 @@
     }
 
     /// Learns from what the runner reported when asked.
-    pub(crate) fn report(&mut self, report: &Report, now: Duration) {
+    pub fn report(&mut self, report: &Report, now: Duration) {
         let known = self.sequence;
         if known.is_some_and(|known| report.sequence < known) {
             return;
@@ -157,7 +156,7 @@
     }
 
     /// Records that the runner carries out `order`.
-    pub(crate) fn accept(&mut self, order: &Order, now: Duration) {
+    pub fn accept(&mut self, order: &Order, now: Duration) {
         self.advance(order, now);
         match (&order.adapter, order.action) {
             (None, action) => {
@@ -176,7 +175,7 @@
 
     /// Records that what `order` asks for holds. An unload that holds at once
     /// counts as an order; a load that does changes nothing.
-    pub(crate) fn hold(&mut self, order: &Order, now: Duration) {
+    pub fn hold(&mut self, order: &Order, now: Duration) {
         match (&order.adapter, order.action) {
             (Some(adapter), Action::Load) => self.add_adapter(&order.model, adapter),
             (Some(adapter), Action::Unload) => {
@@ -204,18 +203,21 @@
         adapters.insert(adapter.to_owned());
     }
 
-    pub(crate) fn reserve(&mut self, model: &str, now: Duration) {
+    /// Keeps the room that an unload makes for `model`.
+    pub fn reserve(&mut self, model: &str, now: Duration) {
         self.reserved_for = Some((model.to_owned(), now));
     }
 
     /// Whether a model order has been in progress for longer than `limit`.
-    pub(crate) fn is_overdue(&self, limit: Duration, now: Duration) -> bool {
+    pub fn is_overdue(&self, limit: Duration, now: Duration) -> bool {
         self.progress
             .as_ref()
             .is_some_and(|(_, _, since)| now.saturating_sub(*since) > limit)
     }
 
-    pub(crate) fn holds_model(&self, model: &str) -> bool {
+    /// Whether it holds the model and is not unloading it.
+    #[must_use]
+    pub fn holds_model(&self, model: &str) -> bool {
         let unloading = matches!(
             &self.progress,
             Some((Action::Unload, leaving, _)) if leaving == model
@@ -223,32 +225,41 @@
         self.models.contains_key(model) && !unloading
     }
 
-    pub(crate) fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
+    /// Whether it holds the adapter and is not unloading it.
+    #[must_use]
+    pub fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
         let key = (model.to_owned(), adapter.to_owned());
         let is_held = |adapters: &BTreeSet<_>| adapters.contains(adapter);
         self.models.get(model).is_some_and(is_held) && !self.leaving.contains(&key)
     }
 
-    pub(crate) fn is_leaving(&self, model: &str, adapter: &str) -> bool {
+    /// Whether the adapter goes once its last request has ended.
+    #[must_use]
+    pub fn is_leaving(&self, model: &str, adapter: &str) -> bool {
         let key = (model.to_owned(), adapter.to_owned());
         self.leaving.contains(&key)
     }
 
-    pub(crate) fn has_leaving(&self) -> bool {
+    /// Whether any adapter does.
+    #[must_use]
+    pub fn has_leaving(&self) -> bool {
         !self.leaving.is_empty()
     }
 
-    pub(crate) fn use_adapter(&mut self, model: &str, adapter: &str, now: Duration) {
+    /// Notes that the adapter was asked for.
+    pub fn use_adapter(&mut self, model: &str, adapter: &str, now: Duration) {
         self.used
             .insert((model.to_owned(), adapter.to_owned()), now);
     }
 
-    pub(crate) fn adapters(&self) -> usize {
+    /// Adapters that take a place, leaving ones too.
+    #[must_use]
+    pub fn adapters(&self) -> usize {
         self.models.values().map(BTreeSet::len).sum()
     }
 
     /// The adapter that was asked for the longest time ago.
-    pub(crate) fn oldest_adapter(&self) -> Option<(id::Model, id::Adapter)> {
+    pub fn oldest_adapter(&self) -> Option<(id::Model, id::Adapter)> {
         self.models
             .iter()
             .flat_map(|(model, adapters)| {
@@ -261,7 +272,7 @@
     }
 
     /// The planner's view of the runner.
-    pub(crate) fn view(
+    pub fn view(
         &self,
         requests: BTreeMap<id::Model, u64>,
         pending_tokens: u64,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -11,10 +11,9 @@
 use crate::gateway::Gateway;
 use crate::{Category, Result, follower};
 
-/// Longest wait for changes of the registrations; a silent connection shows after it.
-const FEED_WAIT: Duration = Duration::from_secs(5);
-/// Longest wait for an edition; peers tell of one that a silent connection hides.
-const EDITION_WAIT: Duration = Duration::from_secs(12);
+/// Longest wait for changes. A call that the store never answers must end, and
+/// the next one bring what it hid, within the bounds for a recovered store.
+const FEED_WAIT: Duration = Duration::from_millis(2500);
 /// Time between two looks at whether this instance has to follow.
 const FOLLOWER_CHECK: Duration = Duration::from_millis(200);
 /// Pause between two calls that both brought changes.
@@ -23,22 +22,36 @@
 const RETRY_MAX: Duration = Duration::from_secs(1);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Follows the environment until the gateway stops.
+/// Follows the environment while this instance is one of the followers; else
+/// reads it when a peer tells of a newer version.
 pub(crate) async fn follow_environment(gateway: Arc<Gateway>) {
     let mut watch = Watch::new("environment");
+    let mut heard = gateway.heard.subscribe();
     loop {
         let result = read_environment(&gateway, watch.revision).await;
         if !watch.settle(&gateway, result).await {
             return;
         }
+        while !watch.is_lost && !is_follower(&gateway) && !is_behind(&gateway) {
+            watch.revision = None;
+            tokio::select! {
+                () = gateway.stopped.cancelled() => return,
+                _ = heard.changed() => {}
+                () = gateway.clock.sleep(FOLLOWER_CHECK) => {}
+            }
+        }
     }
 }
 
+fn is_behind(gateway: &Gateway) -> bool {
+    *gateway.heard.borrow() > *gateway.version.borrow()
+}
+
 async fn read_environment(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
     let editions = &gateway.ports.editions;
     let changes = match revision {
         None => editions.read().await?,
-        Some(revision) => editions.follow(revision, EDITION_WAIT).await?,
+        Some(revision) => editions.follow(revision, FEED_WAIT).await?,
     };
     for edition in changes.changes {
         gateway.offer(edition, "store");
--- /dev/null
+++ b/crates/gateway/tests/parts.rs
@@ -0,0 +1,94 @@
+//! Small parts: kept prompts, events, health, followers.
+
+use std::time::Duration;
+
+use almondbank_gateway::call::Link;
+use almondbank_gateway::follower;
+use almondbank_gateway::health::Health;
+use almondbank_gateway::kept::Kept;
+use almondbank_gateway::sse::Splitter;
+use bytes::Bytes;
+use quickcheck::{Gen, QuickCheck};
+
+const CASES: u64 = 500;
+const SIZE: usize = 100;
+const SEED: u64 = 20_261_204;
+
+fn link(chain: u64) -> Link {
+    Link { chain, tokens: 100 }
+}
+
+#[test]
+fn only_leading_parts_count_as_kept() {
+    let kept = Kept::default();
+    kept.note("r", &[link(1), link(2), link(3)], Duration::ZERO);
+    assert_eq!(kept.tokens("r", &[link(1), link(2), link(9)]), 200);
+    assert_eq!(kept.tokens("r", &[link(9), link(2), link(3)]), 0);
+    assert_eq!(kept.tokens("other", &[link(1)]), 0);
+}
+
+#[test]
+fn peers_are_told_shared_parts_once() {
+    let kept = Kept::default();
+    kept.note("r", &[link(1), link(2)], Duration::ZERO);
+    kept.note("r", &[link(1), link(3)], Duration::ZERO);
+    let news = kept.take_news();
+    assert_eq!(news.iter().map(|kept| kept.chain).collect::<Vec<_>>(), [1]);
+    assert!(kept.take_news().is_empty());
+}
+
+// Events come out whole and in order, wherever the bytes were cut.
+fn splits_anywhere(count: u8, cuts: Vec<u8>) -> bool {
+    let count = u64::from(count % 20);
+    let text: String = (1..=count)
+        .map(|event| format!("id: {event}\ndata: {event}\n\n"))
+        .collect();
+    let mut rest = Bytes::from(text.clone() + "id: 99\nda");
+    let mut splitter = Splitter::default();
+    let mut out = Vec::new();
+    for cut in cuts {
+        let piece = rest.split_to(usize::from(cut).min(rest.len()));
+        out.extend_from_slice(&splitter.push(&piece));
+    }
+    out.extend_from_slice(&splitter.push(&rest));
+    let last = Some(count).filter(|count| *count > 0);
+    out == text.as_bytes() && splitter.last_id() == last && splitter.take_rest() == "id: 99\nda"
+}
+
+#[test]
+fn events_are_split_at_their_borders() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SIZE, SEED))
+        .tests(CASES)
+        .quickcheck(splits_anywhere as fn(u8, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_runner_that_fails_twice_in_a_row_is_ejected_for_a_while() {
+    let health = Health::default();
+    let now = Duration::from_secs(1);
+    health.fail("r", now);
+    assert!(!health.is_ejected("r", now));
+    health.fail("r", now);
+    assert!(health.is_ejected("r", now));
+    assert!(!health.is_ejected("r", now + Duration::from_secs(5)));
+    health.succeed("r");
+    assert!(!health.is_ejected("r", now));
+    assert!(health.failure_rate("r") > 0.0);
+}
+
+#[test]
+fn the_first_two_and_the_keeper_follow() {
+    let followers = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| (*name).to_owned())
+            .collect::<Vec<_>>()
+    };
+    let both = followers(&["a", "b"]);
+    assert!(follower::is_follower("a", false, followers(&["b"]).iter()));
+    assert!(!follower::is_follower("c", false, both.iter()));
+    assert!(follower::is_follower("c", true, both.iter()));
+    // One of the first two cannot read the store, so the third takes its place.
+    assert!(follower::is_follower("c", false, followers(&["b"]).iter()));
+}
--- /dev/null
+++ b/crates/gateway/tests/roster.rs
@@ -0,0 +1,134 @@
+//! Which runners get new work.
+
+use std::time::Duration;
+
+use almondbank_gateway::call::Target;
+use almondbank_gateway::feed::Change;
+use almondbank_gateway::roster::Roster;
+use almondbank_wire::mesh;
+
+const RECONCILE: Duration = Duration::from_secs(2);
+
+fn entry(runner: &str, revision: u64) -> mesh::Registration {
+    mesh::Registration {
+        runner: runner.to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "one".to_owned(),
+        slots: 4,
+        draining: false,
+        leaves_in_ms: None,
+        beat: revision,
+        born_ms: 1,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        revision,
+    }
+}
+
+fn second(second: u64) -> Duration {
+    Duration::from_secs(second)
+}
+
+fn usable(roster: &Roster, now: Duration) -> usize {
+    roster.usable("s", now).len()
+}
+
+#[test]
+fn a_draining_runner_gets_nothing_new() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 1))], second(0));
+    assert_eq!(usable(&roster, second(0)), 1);
+    let mut draining = entry("r", 2);
+    draining.draining = true;
+    roster.apply(vec![Change::Put(draining)], second(1));
+    assert_eq!(usable(&roster, second(1)), 0);
+}
+
+#[test]
+fn a_removed_runner_is_gone_at_once_while_the_store_is_sound() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 1))], second(0));
+    roster.apply(vec![Change::Removed("r".to_owned(), 2)], second(5));
+    assert_eq!(usable(&roster, second(5)), 0);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_return() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 1))], second(0));
+    roster.note_outage(second(4));
+    roster.replace(Vec::new(), Some(9), second(5));
+    assert_eq!(usable(&roster, second(6)), 1);
+    assert_eq!(usable(&roster, second(7)), 0);
+}
+
+#[test]
+fn an_older_entry_does_not_replace_a_newer_one() {
+    let roster = Roster::new(RECONCILE);
+    let mut draining = entry("r", 5);
+    draining.draining = true;
+    roster.apply(vec![Change::Put(draining)], second(0));
+    // A copy from a peer, and a late beat of the same run under a newer revision.
+    roster.apply(vec![Change::Put(entry("r", 4))], second(1));
+    let mut late_beat = entry("r", 6);
+    late_beat.beat = 3;
+    roster.apply(vec![Change::Put(late_beat)], second(1));
+    let mut former_run = entry("r", 7);
+    former_run.born_ms = 0;
+    roster.apply(vec![Change::Put(former_run)], second(1));
+    assert_eq!(usable(&roster, second(1)), 0);
+}
+
+#[test]
+fn a_new_run_under_the_same_id_is_taken_up() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 5))], second(0));
+    let mut reborn = entry("r", 6);
+    reborn.born_ms = 2;
+    reborn.beat = 1;
+    reborn.slots = 9;
+    roster.apply(vec![Change::Put(reborn)], second(1));
+    assert_eq!(roster.usable("s", second(1))[0].registration.slots, 9);
+}
+
+#[test]
+fn changes_with_a_gap_before_them_are_not_merged() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 5))], second(0));
+    let changes = |after, revision| mesh::Registry {
+        after,
+        revision,
+        registrations: vec![entry("t", revision)],
+        removed: Vec::new(),
+    };
+    assert!(!roster.merge(changes(Some(6), 7), second(1)));
+    assert_eq!(roster.newest(), 5);
+    assert!(roster.merge(changes(Some(5), 7), second(1)));
+    assert_eq!(usable(&roster, second(1)), 2);
+    // The whole list says that the other one is gone.
+    assert!(roster.merge(changes(None, 8), second(1)));
+    assert_eq!(usable(&roster, second(1)), 1);
+}
+
+#[test]
+fn a_runner_that_denies_a_model_gets_no_requests_for_it_for_a_while() {
+    let roster = Roster::new(RECONCILE);
+    let mut holding = entry("r", 1);
+    holding.models.push(mesh::Model {
+        name: "m".to_owned(),
+        version: 1,
+        adapters: Vec::new(),
+    });
+    roster.apply(vec![Change::Put(holding)], second(0));
+    let target = Target {
+        model: "m".to_owned(),
+        adapter: None,
+    };
+    let holds = |now| roster.usable("s", now)[0].holds_model("m", now);
+    assert!(holds(second(0)));
+    roster.note_missing("r", &target, second(0));
+    assert!(!holds(second(1)));
+    assert!(holds(second(3)));
+}
