Lease terms counted from the holder's reports; memory of models that return

From the id: they wait for a replica again and again, no adapter order follows, the keeper is silent from 2.7 s to 7.8 s. A contender began to count the term only after 1.6 s of silence. 101 more waited 0.5 to 0.7 s for urgent models that had given way to long files while idle for some seconds. Ruled out: the store (it answered). Change: reports carry the version of the lease row, and a term counts from when that version was heard first; a term of two thirds of the bound where runners check fences; a victim's loss also weighs its rate over 30 s.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Learns that its holder wrote the row's `version` before `heard`, so that
+    /// the term may be counted from then.
+    pub fn hear(&mut self, version: u64, heard: Duration) {
+        let is_newer = self.seen.is_none_or(|seen| seen.version < version);
+        if version != ABSENT && is_newer {
+            self.seen = Some(Sighting {
+                version,
+                since: heard,
+            });
+        }
+    }
+
     /// Reads the row once and takes the lease if it is free or has lapsed.
     ///
     /// # Errors
@@ -169,6 +181,12 @@
         self.fencing
     }
 
+    /// Version of the lease row that was written last.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Time until which orders may be given, on the injected clock.
     #[must_use]
     pub fn valid_until(&self) -> Duration {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -184,6 +184,7 @@
             environment: *self.version.borrow(),
             registry: self.roster.newest(),
             keeper: self.tenure().map_or(0, |tenure| tenure.fencing()),
+            lease_version: self.tenure().map_or(0, |tenure| tenure.lease_version()),
             follows: self.follows.load(Ordering::Relaxed),
             loads: self.book.own(),
             demands: self.demand.take(),
--- a/crates/gateway/src/interest.rs
+++ b/crates/gateway/src/interest.rs
@@ -11,6 +11,8 @@
 
 /// Time in which a past request comes to weigh half.
 const HALF_LIFE: Duration = Duration::from_secs(4);
+/// The same for the memory of models that come back.
+const LONG_HALF_LIFE: Duration = Duration::from_secs(30);
 /// Time after which the waiting requests of a silent instance no longer count.
 const WAITING_TTL: Duration = Duration::from_millis(1500);
 
@@ -24,6 +26,8 @@
 struct State {
     /// Requests, those in the past weighing less.
     weight: f64,
+    /// The same over a longer time.
+    history: f64,
     /// Prompt tokens that were to be read, those in the past weighing less.
     tokens: f64,
     updated: Duration,
@@ -47,6 +51,7 @@
             });
             state.decay(now);
             state.weight += float(demand.arrivals);
+            state.history += float(demand.arrivals);
             state.tokens += float(demand.tokens);
             state.objective = Duration::from_millis(demand.objective_ms);
             if demand.waiting > 0 {
@@ -59,7 +64,6 @@
     /// Interest in the models of `service`.
     #[must_use]
     pub fn of(&self, service: &str, now: Duration) -> BTreeMap<id::Model, planner::Interest> {
-        let per_second = std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
         let mut inner = self.inner.lock();
         inner
             .iter_mut()
@@ -71,8 +75,9 @@
                     .values()
                     .filter(|(at, _)| now.saturating_sub(*at) < WAITING_TTL);
                 let interest = planner::Interest {
-                    rate: state.weight * per_second,
-                    tokens: state.tokens * per_second,
+                    rate: state.weight * per_second(HALF_LIFE),
+                    history: state.history * per_second(LONG_HALF_LIFE),
+                    tokens: state.tokens * per_second(HALF_LIFE),
                     waiting: fresh.map(|(_, count)| count).sum(),
                     objective: state.objective,
                 };
@@ -88,10 +93,16 @@
         let factor = 0.5_f64.powf(elapsed.div_duration_f64(HALF_LIFE));
         self.weight *= factor;
         self.tokens *= factor;
+        self.history *= 0.5_f64.powf(elapsed.div_duration_f64(LONG_HALF_LIFE));
         self.updated = now;
     }
 }
 
+// Rate of a weight that decays with this half-life.
+fn per_second(half_life: Duration) -> f64 {
+    std::f64::consts::LN_2 / half_life.as_secs_f64()
+}
+
 fn float(number: u64) -> f64 {
     f64::from(u32::try_from(number).unwrap_or(u32::MAX))
 }
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -13,11 +13,11 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between two plans.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(15);
-const CONTEND_INTERVAL: Duration = Duration::from_millis(700);
+const CONTEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Time in which a started instance hears of a keeper before it contends.
 const SETTLE: Duration = Duration::from_millis(300);
 /// Largest random delay between instances that contend.
-const JITTER_MS: u64 = 300;
+const JITTER_MS: u64 = 200;
 
 /// Contends for the lease and plans while it is held.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
@@ -25,7 +25,7 @@
         environment: ENVIRONMENT.to_owned(),
         incarnation: gateway.incarnation.clone(),
         address: gateway.settings.listen.peers.to_string(),
-        term: gateway.settings.lease,
+        term: term(&gateway),
     };
     let table = Arc::clone(&gateway.ports.table);
     let mut contender = Contender::new(identity, table, Arc::clone(&gateway.clock));
@@ -37,6 +37,9 @@
             .environment()
             .is_some_and(|environment| environment.engines().next().is_some());
         if is_needed && gateway.members.keeper(now).is_none() {
+            if let Some((version, heard)) = gateway.members.lease() {
+                contender.hear(version, heard);
+            }
             match contender.poll().await {
                 Ok(Some(lease)) => {
                     hold(&gateway, lease).await;
@@ -52,6 +55,16 @@
     }
 }
 
+// Runners that check fencing numbers refuse a holder that was succeeded, so that
+// there a shorter term loses nothing.
+fn term(gateway: &Gateway) -> Duration {
+    if gateway.settings.checks_fencing {
+        gateway.settings.lease * 2 / 3
+    } else {
+        gateway.settings.lease
+    }
+}
+
 async fn pause(gateway: &Gateway, duration: Duration) {
     tokio::select! {
         () = gateway.leaving.cancelled() => {}
@@ -62,7 +75,7 @@
 async fn hold(gateway: &Arc<Gateway>, mut lease: Lease) {
     let fencing = lease.fencing();
     log::info!(fencing; "lease taken");
-    let tenure = Arc::new(Tenure::new(gateway, fencing, lease.valid_until()));
+    let tenure = Arc::new(Tenure::new(gateway, &lease));
     *gateway.tenure.lock() = Some(Arc::clone(&tenure));
     let reason = tokio::select! {
         () = gateway.leaving.cancelled() => "leaving",
@@ -79,7 +92,7 @@
 }
 
 async fn renew(gateway: &Gateway, lease: &mut Lease, tenure: &Tenure) -> &'static str {
-    let interval = gateway.settings.lease / 3;
+    let interval = term(gateway) / 3;
     loop {
         gateway.clock.sleep(interval).await;
         if let Some((_, fencing)) = gateway.members.keeper(gateway.now())
@@ -88,7 +101,7 @@
             return "succeeded by a peer";
         }
         match lease.commit(lease.transaction()).await {
-            Ok(()) => tenure.extend(lease.valid_until()),
+            Ok(()) => tenure.extend(lease),
             Err(error) => {
                 log::info!(fencing = lease.fencing(), error:% = error; "lease is not renewed");
                 match lease.resume().await {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -33,6 +33,8 @@
     pub is_leaving: bool,
     /// Fencing number of the lease that it says it holds, or 0.
     pub keeper: id::Fencing,
+    /// Version of the lease row that it wrote last, and when that was heard first.
+    pub lease: Option<(u64, Duration)>,
     /// Whether it reads the store's feed, and the store answers.
     pub follows: bool,
     /// Version of its environment.
@@ -69,6 +71,7 @@
             is_ready: false,
             is_leaving: false,
             keeper: 0,
+            lease: None,
             follows: false,
             environment: 0,
             registry: 0,
@@ -91,6 +94,9 @@
         member.is_leaving = status.leaving;
         member.keeper = status.keeper;
         member.follows = status.follows;
+        if status.lease_version > member.lease.map_or(0, |(version, _)| version) {
+            member.lease = Some((status.lease_version, now));
+        }
         member.environment = status.environment;
         member.registry = status.registry;
     }
@@ -123,6 +129,13 @@
             .map(|(instance, member)| (instance.clone(), member.keeper))
     }
 
+    /// Newest version of the lease row that any instance told of, and when.
+    #[must_use]
+    pub fn lease(&self) -> Option<(u64, Duration)> {
+        let inner = self.inner.lock();
+        inner.values().filter_map(|member| member.lease).max()
+    }
+
     /// Live instances that follow the store.
     #[must_use]
     pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -52,6 +52,8 @@
 pub struct Interest {
     /// Requests in a second, newer ones weighing more.
     pub rate: f64,
+    /// The same over a longer time, in which demand may have moved away and back.
+    pub history: f64,
     /// Prompt tokens in a second that replicas have to read.
     pub tokens: f64,
     /// Requests that wait for a replica.
@@ -321,7 +323,7 @@
         };
         let requests = runner.requests.get(model).copied().unwrap_or_default();
         let held_back = f64::from(u32::try_from(requests).unwrap_or(u32::MAX));
-        interest.rate * weight * share + held_back * REQUEST_LOSS
+        interest.rate.max(interest.history) * weight * share + held_back * REQUEST_LOSS
     }
 
     fn load_time(&self, model: &str, tier: Tier) -> Duration {
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondbank_control::lease::Lease;
 use almondbank_port::clock::Clock;
 use almondbank_wire::gateway::Settings;
 use parking_lot::Mutex;
@@ -45,7 +46,8 @@
     clock: Arc<dyn Clock>,
     orders: Arc<dyn Orders>,
     metrics: Metrics,
-    valid_until: Mutex<Duration>,
+    /// End of the term, and version of the lease row that was written last.
+    term: Mutex<(Duration, u64)>,
     wards: Mutex<BTreeMap<id::Runner, Ward>>,
     store_loads: Mutex<VecDeque<Duration>>,
     adapter_slots: Mutex<usize>,
@@ -54,16 +56,16 @@
 }
 
 impl Tenure {
-    pub(crate) fn new(gateway: &Gateway, fencing: id::Fencing, valid_until: Duration) -> Self {
+    pub(crate) fn new(gateway: &Gateway, lease: &Lease) -> Self {
         Self {
             holder: gateway.settings.instance.clone(),
-            fencing,
+            fencing: lease.fencing(),
             began: gateway.now(),
             settings: gateway.settings.clone(),
             clock: Arc::clone(&gateway.clock),
             orders: Arc::clone(&gateway.ports.orders),
             metrics: gateway.metrics.clone(),
-            valid_until: Mutex::new(valid_until),
+            term: Mutex::new((lease.valid_until(), lease.version())),
             wards: Mutex::default(),
             store_loads: Mutex::default(),
             adapter_slots: Mutex::default(),
@@ -75,15 +77,19 @@
         self.fencing
     }
 
-    pub(crate) fn extend(&self, valid_until: Duration) {
-        *self.valid_until.lock() = valid_until;
+    pub(crate) fn lease_version(&self) -> u64 {
+        self.term.lock().1
+    }
+
+    pub(crate) fn extend(&self, lease: &Lease) {
+        *self.term.lock() = (lease.valid_until(), lease.version());
     }
 
     /// Whether orders may be given. Runners that check fencing numbers refuse a
     /// holder that was succeeded, so there the term does not end its right
     /// while the store is away.
     pub(crate) fn may_order(&self) -> bool {
-        let is_valid = self.clock.now() < *self.valid_until.lock();
+        let is_valid = self.clock.now() < self.term.lock().0;
         !self.over.is_cancelled() && (is_valid || self.settings.checks_fencing)
     }
 
--- a/crates/gateway/tests/demand_shifts.rs
+++ b/crates/gateway/tests/demand_shifts.rs
@@ -97,15 +97,20 @@
         })
         .collect();
     let mut weights: BTreeMap<String, (f64, Duration)> = BTreeMap::new();
+    let mut history: BTreeMap<String, f64> = BTreeMap::new();
     let mut waiting: Vec<(String, Duration)> = Vec::new();
     let mut waits = Waits::default();
     for step in 0..SECONDS * 10 {
         let decay = 0.5_f64.powf(STEP.as_secs_f64() / HALF_LIFE_SECONDS);
+        for rate in history.values_mut() {
+            *rate *= 0.5_f64.powf(STEP.as_secs_f64() / 30.0);
+        }
         for (weight, _) in weights.values_mut() {
             *weight *= decay;
         }
         for (model, objective) in requests(step) {
             weights.entry(model.clone()).or_insert((0.0, objective)).0 += 1.0;
+            *history.entry(model.clone()).or_default() += 1.0 / 40.0;
             waiting.push((model, objective));
         }
         for machine in machines.values_mut() {
@@ -133,7 +138,7 @@
                 .iter()
                 .map(|(name, machine)| (name.clone(), machine.view.clone()))
                 .collect(),
-            interests: interests(&weights, &waiting),
+            interests: interests(&weights, &history, &waiting),
             token_times: BTreeMap::new(),
             store_loads: 1,
         };
@@ -146,6 +151,7 @@
 
 fn interests(
     weights: &BTreeMap<String, (f64, Duration)>,
+    history: &BTreeMap<String, f64>,
     waiting: &[(String, Duration)],
 ) -> BTreeMap<String, Interest> {
     weights
@@ -154,6 +160,7 @@
             let count = waiting.iter().filter(|(waited, _)| waited == model).count();
             let interest = Interest {
                 rate: weight * std::f64::consts::LN_2 / HALF_LIFE_SECONDS,
+                history: history.get(model).copied().unwrap_or_default(),
                 tokens: 0.0,
                 waiting: u64::try_from(count).expect("few requests"),
                 objective: *objective,
--- a/crates/gateway/tests/planner.rs
+++ b/crates/gateway/tests/planner.rs
@@ -44,6 +44,7 @@
 fn asked(rate: f64, waiting: u64, objective_ms: u64) -> Interest {
     Interest {
         rate,
+        history: 0.0,
         tokens: 0.0,
         waiting,
         objective: Duration::from_millis(objective_ms),
@@ -227,6 +228,7 @@
             .map(|number| {
                 let interest = Interest {
                     rate: f64::from(u8::arbitrary(g)) / 20.0,
+                    history: f64::from(u8::arbitrary(g)) / 40.0,
                     tokens: f64::from(u16::arbitrary(g)),
                     waiting: u64::from(u8::arbitrary(g) % 3),
                     objective: Duration::from_millis(u64::from(u16::arbitrary(g) % 6000)),
