Loads from the store at once found by their times

Ruled out: the rate ceiling (13 a second, not reached), reports of demand (none skipped). Change: store_load.rs finds the number at once by additive increase and multiplicative decrease; a runner with a model order in progress is not asked for adapters, and one with adapters is a worse place for a load from the store; a replica that is only on its way no longer makes a ready one expendable.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod service;
 pub mod speed;
 pub mod sse;
+pub mod store_load;
 pub mod ward;
 
 mod attempt;
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -19,6 +19,9 @@
 const HYSTERESIS: f64 = 1.5;
 /// Worth of a model whose requests can wait for its return.
 const PATIENT_SHARE: f64 = 0.3;
+/// Loss for each adapter of a runner that takes no adapter orders while it loads
+/// a model from the store.
+const ADAPTER_LOSS: f64 = 0.3;
 /// Loss for each request that an unload has to wait for.
 const REQUEST_LOSS: f64 = 0.2;
 /// Worth of one of several replicas, as a share of that of a single one.
@@ -35,6 +38,8 @@
     pub unloading: Option<id::Model>,
     /// Whether an order is in progress or its outcome is unknown.
     pub is_busy: bool,
+    /// Adapters that it holds.
+    pub adapters: usize,
     /// Models with a copy in host memory.
     pub in_memory: BTreeSet<id::Model>,
     /// Models with a copy on disk.
@@ -160,6 +165,16 @@
             .count()
     }
 
+    /// Replicas that take requests.
+    fn ready(&self, model: &str) -> usize {
+        self.view
+            .runners
+            .values()
+            .filter(|runner| runner.models.contains(model))
+            .filter(|runner| runner.unloading.as_deref() != Some(model))
+            .count()
+    }
+
     fn fill_reserved(&mut self) {
         for (name, runner) in &self.view.runners {
             let Some(model) = &runner.reserved_for else {
@@ -239,7 +254,11 @@
             if tier == Tier::Store && (self.store_loads == 0 || (is_waited_for && has_copy)) {
                 return None;
             }
-            let (victim, loss) = self.victim(runner, model)?;
+            let (victim, mut loss) = self.victim(runner, model)?;
+            if tier == Tier::Store {
+                loss +=
+                    ADAPTER_LOSS * f64::from(u32::try_from(runner.adapters).unwrap_or(u32::MAX));
+            }
             let worthwhile =
                 is_waited_for || victim.is_none() || loss * HYSTERESIS <= interest.rate;
             worthwhile.then_some(Place {
@@ -316,7 +335,7 @@
         } else {
             1.0
         };
-        let share = if self.replicas(model) > 1 {
+        let share = if self.ready(model) > 1 {
             SPARE_SHARE
         } else {
             1.0
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -1,6 +1,6 @@
 //! The time for which this instance holds the lease and gives orders.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use crate::planner::{self, Decision, Tier};
 use crate::service::Engine;
 use crate::ward::Ward;
-use crate::{Category, id};
+use crate::{Category, id, store_load};
 
 /// Times that an order without an answer is given again.
 const MAX_RESENDS: u32 = 2;
@@ -41,7 +41,6 @@
 pub(crate) struct Tenure {
     holder: id::Instance,
     fencing: id::Fencing,
-    began: Duration,
     settings: Settings,
     clock: Arc<dyn Clock>,
     orders: Arc<dyn Orders>,
@@ -49,7 +48,7 @@
     /// End of the term, and version of the lease row that was written last.
     term: Mutex<(Duration, u64)>,
     wards: Mutex<BTreeMap<id::Runner, Ward>>,
-    store_loads: Mutex<VecDeque<Duration>>,
+    store_loads: Mutex<store_load::Loads>,
     adapter_slots: Mutex<usize>,
     /// Cancelled when this instance may give no more orders.
     pub(crate) over: CancellationToken,
@@ -60,14 +59,17 @@
         Self {
             holder: gateway.settings.instance.clone(),
             fencing: lease.fencing(),
-            began: gateway.now(),
             settings: gateway.settings.clone(),
             clock: Arc::clone(&gateway.clock),
             orders: Arc::clone(&gateway.ports.orders),
             metrics: gateway.metrics.clone(),
             term: Mutex::new((lease.valid_until(), lease.version())),
             wards: Mutex::default(),
-            store_loads: Mutex::default(),
+            store_loads: Mutex::new(store_load::Loads::new(
+                gateway.settings.load,
+                lease.fencing() > 1,
+                gateway.now(),
+            )),
             adapter_slots: Mutex::default(),
             over: CancellationToken::new(),
         }
@@ -99,12 +101,13 @@
         *self.adapter_slots.lock() = engine.adapter_slots;
         self.observe(gateway, service, now);
         self.check_doubtful(engine, now);
+        self.settle_store_loads(engine, now);
         let view = planner::View {
             engine,
             runners: self.views(&gateway.book, gateway, service, now),
             interests: gateway.interests.of(service, now),
             token_times: gateway.speed.tokens(engine.models.keys()),
-            store_loads: self.store_loads_left(engine, now),
+            store_loads: self.store_loads.lock().left(engine.loads_per_second, now),
         };
         for decision in planner::decide(&view) {
             self.carry_out(decision, now);
@@ -156,23 +159,20 @@
             .collect()
     }
 
-    // Loads that a former holder began may still count, so a whole window
-    // passes before this one begins any.
-    fn store_loads_left(&self, engine: &Engine, now: Duration) -> usize {
-        let window = self.settings.load.window;
-        if self.fencing > 1 && now.saturating_sub(self.began) < window {
-            return 0;
-        }
+    // Learns which loads from the store have ended.
+    fn settle_store_loads(&self, engine: &Engine, now: Duration) {
+        let wards = self.wards.lock();
         let mut loads = self.store_loads.lock();
-        while loads
-            .front()
-            .is_some_and(|at| now.saturating_sub(*at) > window)
-        {
-            loads.pop_front();
+        for runner in loads.running().into_keys() {
+            match wards.get(&runner) {
+                Some(ward) if ward.is_in_order() => {}
+                Some(_) => {
+                    let nominal = engine.models.values().map(|model| model.store_load).max();
+                    loads.end(&runner, nominal, now);
+                }
+                None => loads.end(&runner, None, now),
+            }
         }
-        let allowed = engine.loads_per_second * window.as_secs_f64();
-        let used = f64::from(u32::try_from(loads.len()).unwrap_or(u32::MAX));
-        usize::from(used + 1.0 <= allowed)
     }
 
     fn check_doubtful(self: &Arc<Self>, engine: &Engine, now: Duration) {
@@ -203,7 +203,7 @@
                 tier,
             } => {
                 if tier == Tier::Store {
-                    self.store_loads.lock().push_back(now);
+                    self.store_loads.lock().begin(&runner, now);
                 }
                 log::info!(runner = runner.as_str(), model = model.as_str(), tier:? = tier; "load decided");
                 (runner, Action::Load, model)
@@ -280,7 +280,8 @@
         let Some(ward) = wards.get_mut(runner) else {
             return Step::Impossible;
         };
-        if !ward.holds_model(model) || now < ward.blocked_until {
+        // Runners refuse adapter orders while a model order is in progress.
+        if !ward.holds_model(model) || ward.is_in_order() || now < ward.blocked_until {
             return Step::Impossible;
         }
         ward.use_adapter(model, adapter, now);
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -203,6 +203,12 @@
         adapters.insert(adapter.to_owned());
     }
 
+    /// Whether a model order is in progress.
+    #[must_use]
+    pub fn is_in_order(&self) -> bool {
+        self.progress.is_some()
+    }
+
     /// Keeps the room that an unload makes for `model`.
     pub fn reserve(&mut self, model: &str, now: Duration) {
         self.reserved_for = Some((model.to_owned(), now));
@@ -297,6 +303,7 @@
                 || self.sequence.is_none()
                 || now < self.blocked_until
                 || self.turn.try_lock().is_err(),
+            adapters: self.adapters(),
             in_memory: self.in_memory.clone(),
             on_disk: self.on_disk.clone(),
             requests,
