Orders go on while the store is away; a fault soak of the real gateway

Ruled out: the runners (they carried out all orders). Change: a leaving holder goes on until the lease is released or taken; while registrations do not arrive it asks runners that carry out an order and tells all instances what they hold.

--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -136,7 +136,7 @@
     /// # Errors
     ///
     /// `NotKeeper` if it was lost already or the table does not answer.
-    pub async fn release(self) -> Result<()> {
+    pub async fn release(mut self) -> Result<()> {
         self.lease.release().await
     }
 
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -284,7 +284,7 @@
     /// # Errors
     ///
     /// `NotKeeper` if it was lost already or the table does not answer.
-    pub async fn release(mut self) -> Result<()> {
+    pub async fn release(&mut self) -> Result<()> {
         let key = key::lease(&self.identity.environment);
         let lease = row::Lease {
             holder: None,
--- /dev/null
+++ b/crates/daemon/tests/gateway_soak.rs
@@ -0,0 +1,28 @@
+//! A short soak of the real gateway; `docs/MEASURES.md` lists the long ones.
+
+use std::path::PathBuf;
+
+use almondbank_emulator::soak::{self, Plan};
+
+const SEED: u64 = 20_261_204;
+const FAULTS: usize = 6;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_under_faults_from_outside() {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_almondbank"));
+    let mut plan = Plan::new(SEED, binary);
+    plan.faults = FAULTS;
+    let report = soak::run(plan).await.expect("the programs start");
+    assert!(
+        report.broken.is_empty(),
+        "{:#?}\n{:?}",
+        report.broken,
+        report.faults
+    );
+    assert!(
+        report.served > 100,
+        "{} of {}",
+        report.served,
+        report.requests
+    );
+}
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -90,7 +90,7 @@
     #[must_use]
     pub fn take(&self) -> Vec<mesh::Demand> {
         let mut models = self.models.lock();
-        let demands = models
+        models
             .iter_mut()
             .filter(|(_, count)| count.arrivals > 0 || count.tokens > 0 || count.waiting > 0)
             .map(|((service, model), count)| mesh::Demand {
@@ -101,8 +101,7 @@
                 waiting: count.waiting,
                 objective_ms: u64::try_from(count.objective.as_millis()).unwrap_or(u64::MAX),
             })
-            .collect();
-        demands
+            .collect()
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,7 +65,7 @@
     pub(crate) version: watch::Sender<u64>,
     /// Newest version of the environment that a peer told of.
     pub(crate) heard: watch::Sender<u64>,
-    pub(crate) roster: Roster,
+    pub(crate) roster: Arc<Roster>,
     pub(crate) book: Arc<Book>,
     pub(crate) kept: Kept,
     pub(crate) health: Health,
@@ -81,6 +81,8 @@
     pub(crate) follows: AtomicBool,
     /// Changes of the registrations for the peers that do not.
     pub(crate) news: broadcast::Sender<Arc<mesh::Registry>>,
+    /// What runners reported to this instance, for all peers.
+    pub(crate) held: broadcast::Sender<mesh::Held>,
     /// The lease that this instance holds, if it does.
     pub(crate) tenure: Mutex<Option<Arc<Tenure>>>,
     /// Cancelled when the instance begins to leave.
@@ -101,7 +103,7 @@
             edition: RwLock::default(),
             version: watch::Sender::new(0),
             heard: watch::Sender::new(0),
-            roster: Roster::new(settings.reconcile),
+            roster: Arc::new(Roster::new(settings.reconcile)),
             book: Arc::default(),
             kept: Kept::default(),
             health: Health::default(),
@@ -115,6 +117,7 @@
             metrics: Metrics::new()?,
             follows: AtomicBool::new(false),
             news: broadcast::Sender::new(NEWS_QUEUE),
+            held: broadcast::Sender::new(NEWS_QUEUE),
             tenure: Mutex::default(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -162,6 +165,11 @@
         !self.leaving.is_cancelled() && self.environment().is_some() && self.roster.is_known()
     }
 
+    /// Whether this instance reads the store's feed, and the store answers.
+    pub(crate) fn follows(&self) -> bool {
+        self.follows.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn hello(&self) -> mesh::Hello {
         mesh::Hello {
             instance: self.settings.instance.clone(),
@@ -185,7 +193,7 @@
             registry: self.roster.newest(),
             keeper: self.tenure().map_or(0, |tenure| tenure.fencing()),
             lease_version: self.tenure().map_or(0, |tenure| tenure.lease_version()),
-            follows: self.follows.load(Ordering::Relaxed),
+            follows: self.follows(),
             loads: self.book.own(),
             demands: self.demand.take(),
             kept: self.kept.take_news(),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -15,6 +15,8 @@
 /// Time for which requests are taken after the instance left the directory;
 /// callers keep its list for up to three times the directory's TTL.
 const DEPARTURE: Duration = Duration::from_millis(2900);
+/// Time between two looks at whether the lease is given up.
+const TENURE_CHECK: Duration = Duration::from_millis(50);
 /// Time before the forced end at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
 
@@ -122,7 +124,7 @@
         let end = began + gateway.settings.grace.saturating_sub(END_MARGIN);
         let left = end.saturating_sub(gateway.now());
         tokio::select! {
-            () = gateway.work.wait() => {}
+            () = finished(&gateway) => {}
             () = gateway.clock.sleep(left) => {}
         }
         log::info!(connections = gateway.work.len(); "stopped");
@@ -130,6 +132,14 @@
     }
 }
 
+// Completes when no request is in progress and the lease is given up.
+async fn finished(gateway: &Gateway) {
+    gateway.work.wait().await;
+    while gateway.tenure().is_some() {
+        gateway.clock.sleep(TENURE_CHECK).await;
+    }
+}
+
 fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
     let fail = |error: std::io::Error| Code::Connect(format!("cannot listen: {error}"));
     let listener = tcp::listen(*address).map_err(fail)?;
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -16,6 +16,8 @@
 const CONTEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Time in which a started instance hears of a keeper before it contends.
 const SETTLE: Duration = Duration::from_millis(300);
+/// Pause between two tries to release the lease.
+const RELEASE_RETRY: Duration = Duration::from_millis(300);
 /// Largest random delay between instances that contend.
 const JITTER_MS: u64 = 200;
 
@@ -83,11 +85,35 @@
         reason = renew(gateway, &mut lease, &tenure) => reason,
         () = plan(gateway, &tenure) => "stopped",
     };
+    log::info!(fencing, reason; "lease ends");
+    tokio::select! {
+        () = release(gateway, &mut lease) => {}
+        () = tenure.over.cancelled() => {}
+        () = plan(gateway, &tenure), if reason == "leaving" => {}
+    }
     tenure.over.cancel();
     *gateway.tenure.lock() = None;
-    log::info!(fencing, reason; "lease ends");
-    if let Err(error) = lease.release().await {
-        log::info!(fencing, error:% = error; "lease is not released");
+}
+
+// Tries until the lease is released or another instance has it. While the store
+// is away nobody can take it over, so that orders go on meanwhile.
+async fn release(gateway: &Gateway, lease: &mut Lease) {
+    let fencing = lease.fencing();
+    loop {
+        if lease.release().await.is_ok() {
+            log::info!(fencing; "lease released");
+            return;
+        }
+        match lease.resume().await {
+            Ok(()) => {}
+            Err(error) => {
+                log::info!(fencing, error:% = error; "lease is not released");
+                if error.category() == Category::NotKeeper || !gateway.settings.checks_fencing {
+                    return;
+                }
+            }
+        }
+        gateway.clock.sleep(RELEASE_RETRY).await;
     }
 }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -167,6 +167,7 @@
 ) -> Result<()> {
     let mut statuses = reports.subscribe();
     let mut news = gateway.news.subscribe();
+    let mut held = gateway.held.subscribe();
     let (mut writer, mut reader) = time::timeout(CONNECT_TIMEOUT, connect(address))
         .await
         .map_err(|_| Code::Timeout)??;
@@ -191,6 +192,11 @@
                     }
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
+                held = held.recv() => match held {
+                    Ok(held) => Message::Held(held),
+                    // The next report of the runner brings all that it holds.
+                    Err(_) => continue,
+                },
                 changes = news.recv() => match changes {
                     Ok(_) if gateway.members.is_follower(&peer.instance) => continue,
                     Ok(changes) => Message::Registry((*changes).clone()),
@@ -356,6 +362,7 @@
                 ),
             }
         }
+        Message::Held(held) => gateway.roster.hold(held),
         Message::Registry(registry) => {
             let now = gateway.now();
             let (revision, known) = (registry.revision, gateway.roster.newest());
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -218,6 +218,25 @@
         }
     }
 
+    /// Takes over what the keeper heard from a runner itself, until the runner
+    /// registers anew.
+    pub fn hold(&self, held: mesh::Held) {
+        let mut inner = self.inner.lock();
+        let Some(runner) = inner.runners.get_mut(&held.runner) else {
+            return;
+        };
+        if runner.registration.born_ms != held.born_ms {
+            return;
+        }
+        let mut registration = (*runner.registration).clone();
+        registration.models = held.models;
+        runner.registration = Arc::new(registration);
+        runner.loaded.clear();
+        runner.denied.clear();
+        drop(inner);
+        self.notify();
+    }
+
     /// Notes that the runner accepted the adapter.
     pub fn note_adapter(&self, runner: &str, model: &str, adapter: &str) {
         let mut inner = self.inner.lock();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -85,11 +85,16 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = gateway.closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let ended = if gateway.closing.is_cancelled() {
+        // The request on it is refused, and its answer closes the connection.
+        connection.await
+    } else {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = gateway.closing.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -7,7 +7,9 @@
 use almondbank_control::lease::Lease;
 use almondbank_port::clock::Clock;
 use almondbank_wire::gateway::Settings;
+use almondbank_wire::mesh;
 use parking_lot::Mutex;
+use tokio::sync::broadcast;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
@@ -16,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::order::{Action, Order, Orders, Receipt};
 use crate::planner::{self, Decision, Tier};
+use crate::roster::Roster;
 use crate::service::Engine;
 use crate::ward::Ward;
 use crate::{Category, id, store_load};
@@ -45,6 +48,8 @@
     clock: Arc<dyn Clock>,
     orders: Arc<dyn Orders>,
     metrics: Metrics,
+    roster: Arc<Roster>,
+    held: broadcast::Sender<mesh::Held>,
     /// End of the term, and version of the lease row that was written last.
     term: Mutex<(Duration, u64)>,
     wards: Mutex<BTreeMap<id::Runner, Ward>>,
@@ -63,6 +68,8 @@
             clock: Arc::clone(&gateway.clock),
             orders: Arc::clone(&gateway.ports.orders),
             metrics: gateway.metrics.clone(),
+            roster: Arc::clone(&gateway.roster),
+            held: gateway.held.clone(),
             term: Mutex::new((lease.valid_until(), lease.version())),
             wards: Mutex::default(),
             store_loads: Mutex::new(store_load::Loads::new(
@@ -100,7 +107,7 @@
         let now = self.clock.now();
         *self.adapter_slots.lock() = engine.adapter_slots;
         self.observe(gateway, service, now);
-        self.check_doubtful(engine, now);
+        self.check_doubtful(engine, gateway.follows(), now);
         self.settle_store_loads(engine, now);
         let view = planner::View {
             engine,
@@ -175,7 +182,9 @@
         }
     }
 
-    fn check_doubtful(self: &Arc<Self>, engine: &Engine, now: Duration) {
+    // Asks runners that are not known, in doubt or late; while registrations do not
+    // arrive, all that carry out an order.
+    fn check_doubtful(self: &Arc<Self>, engine: &Engine, store_answers: bool, now: Duration) {
         let longest = engine.models.values().map(|model| model.store_load).max();
         let limit = longest.unwrap_or_default() + OVERDUE_SLACK;
         let overdue: Vec<_> = self
@@ -183,7 +192,10 @@
             .lock()
             .iter()
             .filter(|(_, ward)| {
-                ward.sequence.is_none() || ward.is_doubtful || ward.is_overdue(limit, now)
+                ward.sequence.is_none()
+                    || ward.is_doubtful
+                    || ward.is_overdue(limit, now)
+                    || (!store_answers && ward.is_in_order())
             })
             .filter(|(_, ward)| now >= ward.blocked_until && ward.turn.try_lock().is_ok())
             .map(|(runner, _)| runner.clone())
@@ -426,8 +438,22 @@
                     models = report.models.len();
                     "runner reported"
                 );
-                if let Some(ward) = self.wards.lock().get_mut(runner) {
-                    ward.report(&report, now);
+                let is_settled = match self.wards.lock().get_mut(runner) {
+                    Some(ward) => {
+                        ward.report(&report, now);
+                        !ward.is_in_order() && ward.sequence == Some(report.sequence)
+                    }
+                    None => false,
+                };
+                if is_settled {
+                    let held = mesh::Held {
+                        runner: runner.to_owned(),
+                        born_ms: report.born_ms,
+                        models: report.models,
+                    };
+                    self.roster.hold(held.clone());
+                    // Nobody listens while this instance is alone.
+                    let _ = self.held.send(held);
                 }
             }
             Err(error) => log::info!(runner, error:% = error; "runner does not report"),
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -215,6 +215,7 @@
     }
 
     /// Whether a model order has been in progress for longer than `limit`.
+    #[must_use]
     pub fn is_overdue(&self, limit: Duration, now: Duration) -> bool {
         self.progress
             .as_ref()
@@ -265,6 +266,7 @@
     }
 
     /// The adapter that was asked for the longest time ago.
+    #[must_use]
     pub fn oldest_adapter(&self) -> Option<(id::Model, id::Adapter)> {
         self.models
             .iter()
@@ -278,6 +280,7 @@
     }
 
     /// The planner's view of the runner.
+    #[must_use]
     pub fn view(
         &self,
         requests: BTreeMap<id::Model, u64>,
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -17,6 +17,7 @@
 
 // Whatever the instances are asked for, in any window their retries stay below
 // the ratio of all requests and the extra.
+#[allow(clippy::needless_pass_by_value)] // quickcheck passes owned values
 fn shares_stay_below_the_limit(instances: u8, events: Vec<(u8, u8, bool)>) -> bool {
     let instances = usize::from(instances % 9) + 1;
     let budgets: Vec<_> = (0..instances).map(|_| Budget::new(LIMIT)).collect();
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -40,9 +40,10 @@
 // Events come out whole and in order, wherever the bytes were cut.
 fn splits_anywhere(count: u8, cuts: Vec<u8>) -> bool {
     let count = u64::from(count % 20);
-    let text: String = (1..=count)
+    let events: Vec<_> = (1..=count)
         .map(|event| format!("id: {event}\ndata: {event}\n\n"))
         .collect();
+    let text = events.concat();
     let mut rest = Bytes::from(text.clone() + "id: 99\nda");
     let mut splitter = Splitter::default();
     let mut out = Vec::new();
--- a/crates/gateway/tests/ward.rs
+++ b/crates/gateway/tests/ward.rs
@@ -118,6 +118,27 @@
     assert_eq!(ward.sequence, Some(5));
 }
 
+#[test]
+fn a_registration_from_before_an_order_does_not_end_it() {
+    let mut ward = ward(vec![model("a", &[])]);
+    ward.accept(&order(Action::Load, "b", None, 4), second(1));
+    observe(
+        &mut ward,
+        &entry(2, vec![model("a", &[]), model("b", &[])]),
+        second(2),
+    );
+    ward.accept(&order(Action::Unload, "b", None, 5), second(3));
+    observe(&mut ward, &entry(3, vec![model("a", &[])]), second(4));
+    ward.accept(&order(Action::Load, "b", None, 6), second(5));
+    observe(
+        &mut ward,
+        &entry(2, vec![model("a", &[]), model("b", &[])]),
+        second(6),
+    );
+    assert!(!ward.holds_model("b"));
+    assert!(ward.is_in_order());
+}
+
 #[test]
 fn an_adapter_that_still_runs_keeps_its_place() {
     let mut ward = ward(vec![model("a", &["x", "y"])]);
