Reports paced by the number of instances

Change: pace.rs: from ten instances on, reports to all get rarer with their number, the keeper alone hears of waiting requests at once; silence follows the interval.

--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -10,7 +10,7 @@
 use crate::id;
 
 /// Time after which the last report of a peer no longer counts.
-const REPORT_TTL: Duration = Duration::from_secs(2);
+const REPORT_TTL: Duration = Duration::from_secs(4);
 
 /// Work on one runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -196,7 +196,7 @@
             follows: self.follows(),
             loads: self.book.own(),
             demands: self.demand.take(),
-            kept: self.kept.take_news(),
+            kept: Vec::new(),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod kept;
 pub mod members;
 pub mod order;
+pub mod pace;
 pub mod planner;
 pub mod refusal;
 pub mod roster;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,10 +7,8 @@
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
 
-use crate::id;
+use crate::{id, pace};
 
-/// Silence after which callers are no longer sent to an instance.
-pub const SILENCE: Duration = Duration::from_millis(1600);
 /// Time for which an instance counts in the shares of common limits.
 const SHARE_TTL: Duration = Duration::from_secs(30);
 
@@ -111,9 +109,10 @@
     #[must_use]
     pub fn serving(&self, now: Duration) -> Vec<SocketAddr> {
         let inner = self.inner.lock();
+        let silence = pace::silence(inner.len() + 1);
         inner
             .values()
-            .filter(|member| member.is_live(now) && member.is_ready && !member.is_leaving)
+            .filter(|member| member.is_live(now, silence) && member.is_ready && !member.is_leaving)
             .map(|member| member.callers)
             .collect()
     }
@@ -122,9 +121,10 @@
     #[must_use]
     pub fn keeper(&self, now: Duration) -> Option<(id::Instance, id::Fencing)> {
         let inner = self.inner.lock();
+        let silence = pace::silence(inner.len() + 1);
         inner
             .iter()
-            .filter(|(_, member)| member.is_live(now) && member.keeper > 0)
+            .filter(|(_, member)| member.is_live(now, silence) && member.keeper > 0)
             .max_by_key(|(_, member)| member.keeper)
             .map(|(instance, member)| (instance.clone(), member.keeper))
     }
@@ -140,9 +140,10 @@
     #[must_use]
     pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
         let inner = self.inner.lock();
+        let silence = pace::silence(inner.len() + 1);
         let following = inner
             .iter()
-            .filter(|(_, member)| member.is_live(now) && member.follows);
+            .filter(|(_, member)| member.is_live(now, silence) && member.follows);
         following.map(|(instance, _)| instance.clone()).collect()
     }
 
@@ -167,10 +168,10 @@
 }
 
 impl Member {
-    /// Whether it was heard lately.
+    /// Whether it was heard within `silence`.
     #[must_use]
-    pub fn is_live(&self, now: Duration) -> bool {
+    pub fn is_live(&self, now: Duration, silence: Duration) -> bool {
         self.heard
-            .is_some_and(|heard| now.saturating_sub(heard) < SILENCE)
+            .is_some_and(|heard| now.saturating_sub(heard) < silence)
     }
 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -18,14 +18,16 @@
 use crate::error::Code;
 use crate::gateway::Gateway;
 use crate::links::Link;
-use crate::{Result, tcp};
+use crate::{Result, pace, tcp};
 
 /// Environment name in the keys of the system's own rows.
 pub(crate) const ENVIRONMENT: &str = "main";
 
-const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(20);
+/// Unacknowledged data for this long means that a peer cannot be reached.
 const SILENCE: Duration = Duration::from_secs(2);
+/// Time without a report after which a connection counts as lost.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 const REDIAL_BASE: Duration = Duration::from_millis(200);
 const REDIAL_MAX: Duration = Duration::from_secs(2);
@@ -48,28 +50,55 @@
 }
 
 /// Reports this instance's state at an interval, and at once when a request
-/// begins to wait for a model or the environment changes.
+/// begins to wait for a model or the environment changes. Where there are many
+/// instances, only the keeper hears of that at once.
 pub(crate) async fn report(gateway: Arc<Gateway>, reports: Reports) {
     let mut version = gateway.version.subscribe();
     loop {
-        let status = gateway.status();
         let now = gateway.now();
-        gateway
-            .interests
-            .add(&gateway.settings.instance, &status.demands, now);
+        let instances = gateway.members.share_count(now);
+        let mut status = gateway.status();
+        status.kept = gateway.kept.take_news();
+        count_own(&gateway, &status, now);
+        let is_told = status.leaving;
         // Nobody listens while this instance is alone.
         let _ = reports.send(Arc::new(status));
-        gateway.clock.sleep(MIN_STATUS_INTERVAL).await;
-        tokio::select! {
-            () = gateway.stopped.cancelled() => return,
-            () = gateway.demand.urgent() => {}
-            _ = version.changed() => {}
-            () = gateway.leaving.cancelled(), if !gateway.leaving.is_cancelled() => {}
-            () = gateway.clock.sleep(STATUS_INTERVAL) => {}
+        let next = now + pace::interval(instances);
+        let earliest = now + pace::pause(instances);
+        loop {
+            gateway.clock.sleep(MIN_STATUS_INTERVAL).await;
+            let now = gateway.now();
+            tokio::select! {
+                () = gateway.stopped.cancelled() => return,
+                () = gateway.demand.urgent() => {}
+                _ = version.changed() => break,
+                () = gateway.leaving.cancelled(), if !is_told => break,
+                () = gateway.clock.sleep(next.saturating_sub(now)) => break,
+            }
+            if gateway.now() >= earliest {
+                break;
+            }
+            tell_keeper(&gateway);
         }
     }
 }
 
+fn count_own(gateway: &Gateway, status: &mesh::Status, now: Duration) {
+    let instance = &gateway.settings.instance;
+    gateway.interests.add(instance, &status.demands, now);
+}
+
+fn tell_keeper(gateway: &Gateway) {
+    let now = gateway.now();
+    let status = gateway.status();
+    count_own(gateway, &status, now);
+    let keeper = gateway.members.keeper(now);
+    let link = keeper.and_then(|(instance, _)| gateway.links.get(&instance));
+    if let Some(link) = link {
+        link.offer(Message::Status(status));
+    }
+}
+
 /// Registers this instance and dials the others.
 pub(crate) async fn discover(gateway: Arc<Gateway>, reports: Reports) {
     gateway.links.claim(gateway.settings.listen.peers);
@@ -292,7 +321,7 @@
     let mut behind_since = None;
     loop {
         let message = tokio::select! {
-            message = reader.receive::<Message>(SILENCE) => message?,
+            message = reader.receive::<Message>(REPORT_TIMEOUT) => message?,
             Some(reply) = queue.recv() => {
                 writer.send(&reply).await?;
                 continue;
