--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::exchange::Exchange;
 use crate::forward::millis;
 use crate::gateway::Gateway;
+use crate::outcome::{Outcome, Sent, Source};
 use crate::pick::{self, Chosen, Excluded, Pick};
 use crate::pool::Failure;
 use crate::refusal::{Reason, Refusal};
@@ -31,36 +32,6 @@
 /// Longest answer that is passed on whole.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 
-/// What became of one send.
-enum Sent {
-    Answer(Outcome),
-    /// The runner failed the request, which may be repeated elsewhere.
-    Failed(Outcome),
-    /// The runner has not run it and never will.
-    NotRun(Verdict),
-    /// No byte of it left.
-    Unsent,
-    /// It may have run.
-    Unknown(Reason),
-}
-
-/// A runner's answer.
-pub(crate) enum Outcome {
-    /// A whole answer.
-    Whole(Box<http::response::Parts>, Bytes),
-    /// A stream that has begun.
-    Stream(Box<Source>),
-}
-
-/// A stream from a runner.
-pub(crate) struct Source {
-    pub(crate) delivery: Delivery,
-    pub(crate) head: http::response::Parts,
-    /// First piece; `None` if the stream has none.
-    pub(crate) first: Option<Bytes>,
-    pub(crate) body: Incoming,
-}
-
 /// A request that is sent to one runner after the other.
 pub(crate) struct Attempt {
     pub(crate) gateway: Arc<Gateway>,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,10 +9,11 @@
 use hyper::{Request, Response, http};
 use tokio::time;
 
-use crate::attempt::{Attempt, Outcome};
+use crate::attempt::Attempt;
 use crate::body::Body;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
+use crate::outcome::Outcome;
 use crate::refusal::{Reason, Refusal};
 use crate::{call, relay};
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -76,6 +76,7 @@
 mod links;
 mod mesh;
 mod metrics;
+mod outcome;
 mod pick;
 mod pool;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/outcome.rs
@@ -0,0 +1,39 @@
+//! What became of sending a request to a runner.
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::http;
+
+use crate::delivery::Delivery;
+use crate::edge::Verdict;
+use crate::refusal::Reason;
+
+/// What became of one send.
+pub(crate) enum Sent {
+    Answer(Outcome),
+    /// The runner failed the request, which may be repeated elsewhere.
+    Failed(Outcome),
+    /// The runner has not run it and never will.
+    NotRun(Verdict),
+    /// No byte of it left.
+    Unsent,
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// A runner's answer.
+pub(crate) enum Outcome {
+    /// A whole answer.
+    Whole(Box<http::response::Parts>, Bytes),
+    /// A stream that has begun.
+    Stream(Box<Source>),
+}
+
+/// A stream from a runner.
+pub(crate) struct Source {
+    pub(crate) delivery: Delivery,
+    pub(crate) head: http::response::Parts,
+    /// First piece; `None` if the stream has none.
+    pub(crate) first: Option<Bytes>,
+    pub(crate) body: Incoming,
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,10 +9,11 @@
 use strum::Display;
 use tokio::sync::mpsc;
 
-use crate::attempt::{Attempt, Source};
+use crate::attempt::Attempt;
 use crate::body::Body;
 use crate::error::Code;
 use crate::forward::millis;
+use crate::outcome::Source;
 use crate::sse::Splitter;
 use crate::{Error, Result};
 
