Settings that nothing read are gone; settings checked by tests

Cause: memory_mb and drain_ms were read by nobody and one refusal was never made; they told operators of limits that do not exist. No behaviour.

--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -140,10 +140,13 @@
     decisions: Vec<Decision>,
 }
 
+/// A place where a model could go.
 struct Place<'a> {
     runner: &'a str,
     tier: Tier,
+    /// Model that would give way.
     victim: Option<&'a str>,
+    /// What that costs, in requests a second that lose their replica.
     loss: f64,
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,8 +10,6 @@
 pub enum Reason {
     /// The head is malformed.
     BadRequest,
-    /// The head is longer than the environment allows.
-    HeadTooLong,
     /// The body is longer than the environment allows.
     BodyTooLong,
     /// No route of the environment matches.
@@ -73,7 +71,6 @@
             Self::BadRequest => 400,
             Self::NoRoute => 404,
             Self::BodyTooLong => 413,
-            Self::HeadTooLong => 431,
             Self::Leaving
             | Self::NoEnvironment
             | Self::NoRunner
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -10,7 +10,8 @@
 pub struct Service {
     /// Name.
     pub name: id::Service,
-    /// Connections that one runner accepts from all instances together.
+    /// Connections that one runner accepts from all instances together; an
+    /// instance keeps far fewer.
     pub max_connections: u32,
     /// What its runners are, if they run models.
     pub engine: Option<Engine>,
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -58,16 +58,12 @@
     pub store: SocketAddr,
     /// Peer addresses to try while the store is down.
     pub seeds: Vec<SocketAddr>,
-    /// Memory that the process may use, in bytes.
-    pub memory_bytes: u64,
     /// File descriptors that the process may use.
     pub max_files: usize,
     /// Whether runners refuse orders with an old fencing number.
     pub checks_fencing: bool,
     /// Term of the keeper's lease.
     pub lease: Duration,
-    /// Time within which a leaving runner gets no new work.
-    pub drain: Duration,
     /// Time from the signal to terminate to the forced end.
     pub grace: Duration,
     /// Time after an outage of the store within which live runners register again.
@@ -123,7 +119,6 @@
             log::LevelFilter::Info
         });
         let positive = [
-            ("/memory_mb", raw.memory_mb > 0),
             ("/max_files", raw.max_files > 0),
             ("/lease_ms", raw.lease_ms > 0),
             ("/retry_ratio", raw.retry_ratio >= 0.0),
@@ -151,11 +146,9 @@
             listen,
             store,
             seeds,
-            memory_bytes: raw.memory_mb << 20,
             max_files: usize::try_from(raw.max_files).unwrap_or(usize::MAX),
             checks_fencing: raw.checks_fencing,
             lease: Duration::from_millis(raw.lease_ms),
-            drain: Duration::from_millis(raw.drain_ms),
             grace: Duration::from_secs_f64(raw.grace_s),
             reconcile: Duration::from_millis(raw.reconcile_ms),
             retry: Retry {
--- /dev/null
+++ b/crates/wire/tests/gateway_settings.rs
@@ -0,0 +1,46 @@
+//! Settings of a gateway are checked whole.
+
+use std::time::Duration;
+
+use almondbank_wire::gateway;
+
+const VALID: &str = "instance: entry-1\ndata_centre: one\ncallers_listen: 127.0.0.1:1\n\
+    ready_listen: 127.0.0.1:2\npeers_listen: 127.0.0.1:3\ndirectory_listen: 127.0.0.1:4\n\
+    metrics_listen: 127.0.0.1:5\nstore: 127.0.0.1:6\nmax_files: 100\n";
+
+#[test]
+fn defaults_fill_what_is_left_out() {
+    let settings = gateway::parse(VALID).expect("valid settings");
+    assert_eq!(settings.lease, Duration::from_secs(3));
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert!(!settings.checks_fencing);
+    assert!(settings.seeds.is_empty());
+}
+
+#[test]
+fn blank_lines_and_empty_lists_of_a_rendered_template_are_taken() {
+    let text = format!("{VALID}\n\nseeds: []\ngrace_s: 2.5\n");
+    let settings = gateway::parse(&text).expect("valid settings");
+    assert_eq!(settings.grace, Duration::from_millis(2500));
+}
+
+#[test]
+fn every_mistake_is_told_with_its_path() {
+    let text = VALID
+        .replace("store: 127.0.0.1:6", "store: nowhere")
+        .replace(
+            "max_files: 100",
+            "max_files: 0\nseeds: [x]\nlog: loud\nretry_ratio: -1.0",
+        );
+    let error = gateway::parse(&text).expect_err("mistakes");
+    let paths: Vec<_> = error.findings().iter().map(|f| f.path.clone()).collect();
+    for path in ["/store", "/seeds/0", "/log", "/max_files", "/retry_ratio"] {
+        assert!(paths.contains(&path.to_owned()), "{path} in {paths:?}");
+    }
+}
+
+#[test]
+fn unknown_keys_are_refused() {
+    let error = gateway::parse(&format!("{VALID}colour: red\n")).expect_err("a mistake");
+    assert_eq!(error.findings().len(), 1);
+}
