A removal is not undone by an entry from before it

Seen from the log: all six lines 'no longer registered' at 11.89 s, requests sent there at 13.95 s by instances that do not follow the feed. Change: a removed entry remembers the version that removed it, and returns only with a newer one; a line tells when a runner registers again. Test: a_removal_is_not_undone_by_an_entry_from_before_it, seen failing.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -33,6 +33,8 @@
     /// When its notice to leave runs out, if it gave one.
     pub leaves_at: Option<Duration>,
     removed_at: Option<Duration>,
+    /// Version of the store that removed the entry.
+    removed_by: u64,
     reprieved_until: Option<Duration>,
     /// Adapters that were loaded since the registration, by model and name.
     loaded: BTreeSet<(id::Model, id::Adapter)>,
@@ -165,12 +167,7 @@
     }
 
     /// Takes `registrations` for the whole list as of `revision`.
-    pub fn replace(
-        &self,
-        registrations: Vec<mesh::Registration>,
-        revision: Option<u64>,
-        now: Duration,
-    ) {
+    pub fn replace(&self, registrations: Vec<mesh::Registration>, revision: u64, now: Duration) {
         let mut inner = self.inner.lock();
         let listed: BTreeSet<_> = registrations
             .iter()
@@ -186,9 +183,8 @@
             .cloned()
             .collect();
         for runner in missing {
-            inner.remove(&runner, u64::MAX, now, self.reconcile);
+            inner.remove(&runner, revision, now, self.reconcile);
         }
-        inner.newest = inner.newest.max(revision.unwrap_or_default());
         inner.is_known = true;
         inner.forget(now);
         drop(inner);
@@ -204,7 +200,8 @@
         }
         match registry.after {
             None => {
-                self.replace(registry.registrations, Some(registry.revision), now);
+                self.replace(registry.registrations, registry.revision, now);
+                self.raise(registry.revision);
                 true
             }
             Some(after) if after <= newest => {
@@ -310,6 +307,11 @@
             .collect()
     }
 
+    fn raise(&self, revision: u64) {
+        let mut inner = self.inner.lock();
+        inner.newest = inner.newest.max(revision);
+    }
+
     fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
@@ -321,13 +323,8 @@
         let Ok(address) = registration.address.parse() else {
             return;
         };
-        if self.runners.get(&registration.runner).is_some_and(|known| {
-            is_outdated(
-                &registration,
-                &known.registration,
-                known.removed_at.is_some(),
-            )
-        }) {
+        let known = self.runners.get(&registration.runner);
+        if known.is_some_and(|known| is_outdated(&registration, known)) {
             return;
         }
         log::debug!(
@@ -335,6 +332,17 @@
             draining = registration.draining, models = registration.models.len();
             "registration changed"
         );
+        if let Some(known) = self.runners.get(&registration.runner)
+            && known.removed_at.is_some()
+        {
+            log::info!(
+                runner = registration.runner.as_str(), revision = registration.revision,
+                beat = registration.beat, born_ms = registration.born_ms,
+                former_revision = known.registration.revision,
+                former_beat = known.registration.beat;
+                "runner registered again"
+            );
+        }
         let leaves_at = registration
             .leaves_in_ms
             .map(|left| now + Duration::from_millis(left));
@@ -342,6 +350,7 @@
             address,
             leaves_at,
             removed_at: None,
+            removed_by: 0,
             reprieved_until: None,
             loaded: BTreeSet::new(),
             denied: BTreeMap::new(),
@@ -362,6 +371,7 @@
             return;
         }
         runner.removed_at = Some(now);
+        runner.removed_by = revision;
         runner.reprieved_until = failed_lately.then(|| now + reconcile);
         log::info!(
             runner = runner.registration.runner.as_str(), store_failed_lately = failed_lately;
@@ -380,12 +390,13 @@
 
 // A peer may pass on an entry that is older than the one known, and a beat of an
 // earlier run may arrive after the first of the next one.
-fn is_outdated(new: &mesh::Registration, known: &mesh::Registration, is_removed: bool) -> bool {
-    if new.revision < known.revision || new.born_ms < known.born_ms {
+fn is_outdated(new: &mesh::Registration, known: &Runner) -> bool {
+    let last = &known.registration;
+    if new.revision <= known.removed_by || new.revision < last.revision {
         return true;
     }
-    if new.born_ms == known.born_ms && new.beat < known.beat {
-        return true;
+    if new.born_ms != last.born_ms {
+        return new.born_ms < last.born_ms;
     }
-    new.revision == known.revision && !is_removed && new.beat <= known.beat
+    new.beat < last.beat || (new.revision == last.revision && new.beat <= last.beat)
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -95,7 +95,9 @@
     let Some(revision) = revision else {
         let changes = registrations.read().await?;
         let now = gateway.now();
-        gateway.roster.replace(changes.changes, None, now);
+        gateway
+            .roster
+            .replace(changes.changes, changes.revision, now);
         return Ok(changes.revision);
     };
     let changes = registrations.follow(revision, FEED_WAIT).await?;
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -59,7 +59,7 @@
     let roster = Roster::new(RECONCILE);
     roster.apply(vec![Change::Put(entry("r", 1))], second(0));
     roster.note_outage(second(4));
-    roster.replace(Vec::new(), Some(9), second(5));
+    roster.replace(Vec::new(), 9, second(5));
     assert_eq!(usable(&roster, second(6)), 1);
     assert_eq!(usable(&roster, second(7)), 0);
 }
@@ -132,3 +132,28 @@
     assert!(!holds(second(1)));
     assert!(holds(second(3)));
 }
+
+// Found by a hunt on guild-match (hunt-fb45-43): a runner's last change and its
+// removal came in one batch, and instances that hear from peers took them in
+// the other order.
+#[test]
+fn a_removal_is_not_undone_by_an_entry_from_before_it() {
+    let roster = Roster::new(RECONCILE);
+    roster.apply(vec![Change::Put(entry("r", 5))], second(0));
+    let batch = mesh::Registry {
+        after: Some(5),
+        revision: 7,
+        registrations: vec![entry("r", 6)],
+        removed: vec![mesh::Removed {
+            runner: "r".to_owned(),
+            revision: 7,
+        }],
+    };
+    assert!(roster.merge(batch, second(1)));
+    assert_eq!(usable(&roster, second(1)), 0);
+    // A copy of the last entry from a peer that has not heard.
+    roster.apply(vec![Change::Put(entry("r", 6))], second(2));
+    assert_eq!(usable(&roster, second(2)), 0);
+    roster.apply(vec![Change::Put(entry("r", 8))], second(3));
+    assert_eq!(usable(&roster, second(3)), 1);
+}
