Adapter places counted by service

Cause: the holder kept one count of adapter places, that of the engine service planned last, so that a deployment with two engine services could order more adapters onto a runner than it holds (LIMIT); loads from the store were settled by the times of another service's models. Found by reading; neither site has two engine services. Ruled out: memory of weights (planned by service). Change: a ward knows its service. Test: each_service_has_its_own_adapter_places, seen failing before.

--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -54,7 +54,8 @@
     term: Mutex<(Duration, u64)>,
     wards: Mutex<BTreeMap<id::Runner, Ward>>,
     store_loads: Mutex<store_load::Loads>,
-    adapter_slots: Mutex<usize>,
+    /// Adapters that a runner holds at most, by service.
+    adapter_slots: Mutex<BTreeMap<id::Service, usize>>,
     /// Cancelled when this instance may give no more orders.
     pub(crate) over: CancellationToken,
 }
@@ -105,10 +106,12 @@
     /// Plans one service and gives the orders.
     pub(crate) fn plan(self: &Arc<Self>, gateway: &Gateway, service: &str, engine: &Engine) {
         let now = self.clock.now();
-        *self.adapter_slots.lock() = engine.adapter_slots;
+        self.adapter_slots
+            .lock()
+            .insert(service.to_owned(), engine.adapter_slots);
         self.observe(gateway, service, now);
-        self.check_doubtful(engine, gateway.follows(), now);
-        self.settle_store_loads(engine, now);
+        self.check_doubtful(service, engine, gateway.follows(), now);
+        self.settle_store_loads(service, engine, now);
         let view = planner::View {
             engine,
             runners: self.views(&gateway.book, gateway, service, now),
@@ -166,13 +169,14 @@
             .collect()
     }
 
-    // Learns which loads from the store have ended.
-    fn settle_store_loads(&self, engine: &Engine, now: Duration) {
+    // Learns which loads from the store have ended at the runners of `service`,
+    // or with their runner.
+    fn settle_store_loads(&self, service: &str, engine: &Engine, now: Duration) {
         let wards = self.wards.lock();
         let mut loads = self.store_loads.lock();
         for runner in loads.running().into_keys() {
             match wards.get(&runner) {
-                Some(ward) if ward.is_in_order() => {}
+                Some(ward) if ward.is_in_order() || ward.service != service => {}
                 Some(_) => {
                     let nominal = engine.models.values().map(|model| model.store_load).max();
                     loads.end(&runner, nominal, now);
@@ -184,13 +188,20 @@
 
     // Asks runners that are not known, in doubt or late; while registrations do not
     // arrive, all that carry out an order.
-    fn check_doubtful(self: &Arc<Self>, engine: &Engine, store_answers: bool, now: Duration) {
+    fn check_doubtful(
+        self: &Arc<Self>,
+        service: &str,
+        engine: &Engine,
+        store_answers: bool,
+        now: Duration,
+    ) {
         let longest = engine.models.values().map(|model| model.store_load).max();
         let limit = longest.unwrap_or_default() + OVERDUE_SLACK;
         let overdue: Vec<_> = self
             .wards
             .lock()
             .iter()
+            .filter(|(_, ward)| ward.service == service)
             .filter(|(_, ward)| {
                 ward.sequence.is_none()
                     || ward.is_doubtful
@@ -303,7 +314,8 @@
         if ward.is_leaving(model, adapter) {
             return Step::Wait;
         }
-        if ward.adapters() < *self.adapter_slots.lock() {
+        let slots = self.adapter_slots.lock().get(&ward.service).copied();
+        if ward.adapters() < slots.unwrap_or_default() {
             return Step::Load;
         }
         if ward.has_leaving() {
--- a/crates/gateway/src/ward.rs
+++ b/crates/gateway/src/ward.rs
@@ -21,6 +21,8 @@
 /// One runner under orders.
 #[derive(Clone, Debug)]
 pub struct Ward {
+    /// Service that it belongs to.
+    pub service: id::Service,
     /// Where it listens.
     pub address: SocketAddr,
     born_ms: u64,
@@ -52,6 +54,7 @@
     #[must_use]
     pub fn new(registration: &mesh::Registration, address: SocketAddr, now: Duration) -> Self {
         let mut ward = Self {
+            service: registration.service.clone(),
             address,
             born_ms: registration.born_ms,
             sequence: None,
