Requests without an answer are answered before the process ends

Change: 0.4 s before the end every request without an answer is given up: 503 if it was never sent, 502 if its outcome is unknown.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,6 +41,8 @@
     sends: u32,
     /// Times that it may have run.
     runs: u32,
+    /// Whether a send may have left that is not settled.
+    is_in_flight: bool,
     /// Event after which a stream goes on.
     resume_after: Option<u64>,
     /// A runner's own failure, passed on if no other runner does better.
@@ -55,18 +57,28 @@
             excluded: Excluded::default(),
             sends: 0,
             runs: 0,
+            is_in_flight: false,
             resume_after: None,
             failed: None,
         }
     }
 
-    /// Sends the request until a runner answers or nothing more may be tried.
+    /// Sends the request until a runner answers, nothing more may be tried, or
+    /// this instance ends.
     ///
     /// # Errors
     ///
     /// Fails with the refusal for the caller.
     pub(crate) async fn run(&mut self) -> Result<Outcome, Refusal> {
-        match self.try_runners().await {
+        let gateway = Arc::clone(&self.gateway);
+        let tried = tokio::select! {
+            tried = self.try_runners() => tried,
+            () = gateway.ending.cancelled() => {
+                let refusal = Refusal::new(Reason::Leaving).after(Duration::ZERO);
+                Err(self.honest(refusal))
+            }
+        };
+        match tried {
             Err(refusal) => self.failed.take().ok_or(refusal),
             outcome => outcome,
         }
@@ -103,7 +115,10 @@
             self.permit()?;
             self.log_send(&chosen);
             let runner = chosen.runner.id().clone();
-            match self.send(*chosen).await {
+            self.is_in_flight = true;
+            let sent = self.send(*chosen).await;
+            self.is_in_flight = false;
+            match sent {
                 Sent::Answer(outcome) => return Ok(outcome),
                 Sent::Unsent => {
                     self.sends -= 1;
@@ -136,7 +151,8 @@
 
     // A failure after a send that may have run must not promise the contrary.
     fn honest(&self, refusal: Refusal) -> Refusal {
-        if self.runs == 0 || refusal.reason.status() != 503 {
+        let has_run = self.runs > 0 || self.is_in_flight;
+        if !has_run || refusal.reason.status() != 503 {
             return refusal;
         }
         if refusal.reason == Reason::Expired {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,8 @@
     pub(crate) leaving: CancellationToken,
     /// Cancelled when idle connections of callers are to be closed.
     pub(crate) closing: CancellationToken,
+    /// Cancelled when requests without an answer are given up.
+    pub(crate) ending: CancellationToken,
     /// Cancelled when all tasks are to end.
     pub(crate) stopped: CancellationToken,
     /// Connections of callers and answers in progress.
@@ -121,6 +123,7 @@
             tenure: Mutex::default(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
             stopped: CancellationToken::new(),
             work: TaskTracker::new(),
             clock,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -19,6 +19,8 @@
 const TENURE_CHECK: Duration = Duration::from_millis(50);
 /// Time before the forced end at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
+/// Time before that in which the answers of requests that are given up are sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
 /// One running gateway.
 #[derive(Debug)]
@@ -122,10 +124,18 @@
         gateway.closing.cancel();
         gateway.work.close();
         let end = began + gateway.settings.grace.saturating_sub(END_MARGIN);
-        let left = end.saturating_sub(gateway.now());
+        let left = end.saturating_sub(ANSWER_MARGIN + gateway.now());
         tokio::select! {
             () = finished(&gateway) => {}
-            () = gateway.clock.sleep(left) => {}
+            () = gateway.clock.sleep(left) => {
+                gateway.ending.cancel();
+                // Streams that go on still have this time.
+                let left = end.saturating_sub(gateway.now());
+                tokio::select! {
+                    () = finished(&gateway) => {}
+                    () = gateway.clock.sleep(left) => {}
+                }
+            }
         }
         log::info!(connections = gateway.work.len(); "stopped");
         gateway.stopped.cancel();
