Speakers of data centres instead of a mesh of all instances

Ruled out: bodies of requests (0.05 GB). Change: beyond 20 instances an instance is linked with its data centre and the keeper; one speaks for each data centre and sends a summary each 500 ms to one instance of each other, which passes it on; news of registrations go the same way. Callers are named instances of their data centre where enough serve. Small sites: 20 or fewer instances, links as before.

--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -53,6 +53,8 @@
 struct Inner {
     own: BTreeMap<Key, Work>,
     peers: BTreeMap<id::Instance, Report>,
+    /// Other data centres, where these report as a whole.
+    data_centres: BTreeMap<String, Report>,
 }
 
 #[derive(Debug)]
@@ -93,22 +95,17 @@
 
     /// Replaces what `instance` reported before.
     pub fn report(&self, instance: &str, loads: Vec<mesh::Load>, now: Duration) {
-        let loads = loads
-            .into_iter()
-            .map(|load| {
-                let work = Work {
-                    pending: load.pending,
-                    pending_tokens: load.pending_tokens,
-                    running: load.running,
-                    tokens: load.tokens,
-                };
-                ((load.runner, load.model), work)
-            })
-            .collect();
-        let report = Report { at: now, loads };
+        let report = Report::new(loads, now);
         self.inner.lock().peers.insert(instance.to_owned(), report);
     }
 
+    /// Replaces what `data_centre` reported as a whole before.
+    pub fn report_all(&self, data_centre: &str, loads: Vec<mesh::Load>, now: Duration) {
+        let report = Report::new(loads, now);
+        let mut inner = self.inner.lock();
+        inner.data_centres.insert(data_centre.to_owned(), report);
+    }
+
     /// Work of all instances by runner.
     #[must_use]
     pub fn totals(&self, now: Duration) -> BTreeMap<id::Runner, Work> {
@@ -124,13 +121,9 @@
     pub fn by_model(&self, now: Duration) -> BTreeMap<(id::Runner, id::Model), Work> {
         let inner = self.inner.lock();
         let mut totals = inner.own.clone();
-        for report in inner.peers.values() {
-            if now.saturating_sub(report.at) > REPORT_TTL {
-                continue;
-            }
-            for (key, work) in &report.loads {
-                totals.entry(key.clone()).or_default().add(*work);
-            }
+        let reports = inner.peers.values().chain(inner.data_centres.values());
+        for report in reports {
+            report.add_to(&mut totals, now);
         }
         totals
     }
@@ -138,22 +131,61 @@
     /// This instance's own work, for its peers.
     #[must_use]
     pub fn own(&self) -> Vec<mesh::Load> {
+        loads(&self.inner.lock().own)
+    }
+
+    /// The work of this instance and of those that report to it themselves.
+    #[must_use]
+    pub fn near(&self, now: Duration) -> Vec<mesh::Load> {
         let inner = self.inner.lock();
-        inner
-            .own
-            .iter()
-            .map(|((runner, model), work)| mesh::Load {
-                runner: runner.clone(),
-                model: model.clone(),
-                running: work.running,
-                pending: work.pending,
-                pending_tokens: work.pending_tokens,
-                tokens: work.tokens,
-            })
-            .collect()
+        let mut totals = inner.own.clone();
+        for report in inner.peers.values() {
+            report.add_to(&mut totals, now);
+        }
+        loads(&totals)
     }
 }
 
+impl Report {
+    fn new(loads: Vec<mesh::Load>, at: Duration) -> Self {
+        let loads = loads.into_iter().map(|load| {
+            let work = Work {
+                pending: load.pending,
+                pending_tokens: load.pending_tokens,
+                running: load.running,
+                tokens: load.tokens,
+            };
+            ((load.runner, load.model), work)
+        });
+        Self {
+            at,
+            loads: loads.collect(),
+        }
+    }
+
+    fn add_to(&self, totals: &mut BTreeMap<Key, Work>, now: Duration) {
+        if now.saturating_sub(self.at) > REPORT_TTL {
+            return;
+        }
+        for (key, work) in &self.loads {
+            totals.entry(key.clone()).or_default().add(*work);
+        }
+    }
+}
+
+fn loads(work: &BTreeMap<Key, Work>) -> Vec<mesh::Load> {
+    work.iter()
+        .map(|((runner, model), work)| mesh::Load {
+            runner: runner.clone(),
+            model: model.clone(),
+            running: work.running,
+            pending: work.pending,
+            pending_tokens: work.pending_tokens,
+            tokens: work.tokens,
+        })
+        .collect()
+}
+
 impl Entry {
     /// Notes that the first token has come.
     pub fn start(&mut self) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::edge::Edge;
 use crate::environment::Environment;
 use crate::feed::{Edition, Editions, Registrations};
+use crate::gossip::{self, Gossip, Origin, Relation};
 use crate::health::Health;
 use crate::interest::Interests;
 use crate::kept::Kept;
@@ -30,7 +31,9 @@
 use crate::pool::Pool;
 use crate::roster::Roster;
 use crate::speed::Speed;
+use crate::summary::Collector;
 use crate::tenure::Tenure;
+use crate::topology::Topology;
 use crate::{Result, id};
 
 /// Changes that wait to be passed on to a peer.
@@ -79,10 +82,12 @@
     pub(crate) metrics: Metrics,
     /// Whether this instance reads the store's feed, and the store answers.
     pub(crate) follows: AtomicBool,
-    /// Changes of the registrations for the peers that do not.
-    pub(crate) news: broadcast::Sender<Arc<mesh::Registry>>,
-    /// What runners reported to this instance, for all peers.
-    pub(crate) held: broadcast::Sender<mesh::Held>,
+    /// Messages that are passed on.
+    pub(crate) gossip: broadcast::Sender<Arc<Gossip>>,
+    /// Links that this instance keeps.
+    pub(crate) topology: watch::Sender<Topology>,
+    /// What the next summary of this data centre tells.
+    pub(crate) collector: Collector,
     /// The lease that this instance holds, if it does.
     pub(crate) tenure: Mutex<Option<Arc<Tenure>>>,
     /// Cancelled when the instance begins to leave.
@@ -113,13 +118,14 @@
             budget: Budget::new(settings.retry),
             demand: Arc::default(),
             interests: Interests::default(),
-            members: Members::default(),
+            members: Members::new(&settings.data_centre),
             links: Links::default(),
             pool: Pool::new(Arc::clone(&clock)),
             metrics: Metrics::new()?,
             follows: AtomicBool::new(false),
-            news: broadcast::Sender::new(NEWS_QUEUE),
-            held: broadcast::Sender::new(NEWS_QUEUE),
+            gossip: broadcast::Sender::new(NEWS_QUEUE),
+            topology: watch::Sender::new(Topology::default()),
+            collector: Collector::default(),
             tenure: Mutex::default(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -187,8 +193,65 @@
         self.tenure.lock().clone()
     }
 
+    /// Passes a message on to the instances that `origin` has not reached.
+    pub(crate) fn pass_on(&self, message: mesh::Message, origin: Origin) {
+        // Nobody listens while this instance is alone.
+        let _ = self.gossip.send(Arc::new(Gossip { message, origin }));
+    }
+
+    /// Whether data centres have instances that speak for them.
+    pub(crate) fn is_tiered(&self) -> bool {
+        self.topology.borrow().is_tiered
+    }
+
+    /// Whether this is the data centre of this instance.
+    pub(crate) fn is_near_data_centre(&self, data_centre: &str) -> bool {
+        self.settings.data_centre == data_centre
+    }
+
+    /// Whether the instance hears of this one's work from itself.
+    pub(crate) fn is_near(&self, instance: &str) -> bool {
+        !self.is_tiered() || self.members.is_near(instance)
+    }
+
+    /// What a linked peer is to this instance.
+    pub(crate) fn relation(&self, peer: &mesh::Hello) -> Relation {
+        let is_open = |instance: &str| self.links.get(instance).is_some();
+        let data_centre = &self.settings.data_centre;
+        gossip::relation(&self.topology.borrow(), data_centre, peer, is_open)
+    }
+
+    /// Decides on the links to keep.
+    pub(crate) fn shape_links(&self) {
+        let own = self.settings.listen.peers;
+        let topology = self.members.topology(own, self.now());
+        self.topology.send_if_modified(|current| {
+            if *current == topology {
+                return false;
+            }
+            if current.is_speaker != topology.is_speaker || current.bridges != topology.bridges {
+                log::info!(
+                    tiered = topology.is_tiered, speaker = topology.is_speaker,
+                    bridges:? = topology.bridges;
+                    "links decided"
+                );
+            }
+            *current = topology;
+            true
+        });
+    }
+
     /// Makes the report for the peers; takes what was counted since the last one.
     pub(crate) fn status(&self) -> mesh::Status {
+        mesh::Status {
+            loads: self.book.own(),
+            demands: self.demand.take(),
+            ..self.status_without_counts()
+        }
+    }
+
+    /// The same without what is counted.
+    pub(crate) fn status_without_counts(&self) -> mesh::Status {
         mesh::Status {
             ready: self.is_ready(),
             leaving: self.leaving.is_cancelled(),
@@ -197,8 +260,8 @@
             keeper: self.tenure().map_or(0, |tenure| tenure.fencing()),
             lease_version: self.tenure().map_or(0, |tenure| tenure.lease_version()),
             follows: self.follows(),
-            loads: self.book.own(),
-            demands: self.demand.take(),
+            loads: Vec::new(),
+            demands: Vec::new(),
             kept: Vec::new(),
         }
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -10,7 +10,7 @@
 use crate::error::Code;
 use crate::gateway::{Gateway, Ports};
 use crate::server::{self, Purpose};
-use crate::{Result, keeper, mesh, tcp, watcher};
+use crate::{Result, discovery, keeper, mesh, report, tcp, watcher};
 
 /// Time for which requests are taken after the instance left the directory;
 /// callers keep its list for up to three times the directory's TTL.
@@ -42,10 +42,12 @@
         let directory = bind(&mut listen.directory)?;
         let metrics = bind(&mut listen.metrics)?;
         let gateway = Arc::new(Gateway::new(settings, ports)?);
-        let reports = mesh::reports();
+        let reports = report::channel();
         tokio::spawn(mesh::listen(Arc::clone(&gateway), peers, reports.clone()));
-        tokio::spawn(mesh::discover(Arc::clone(&gateway), reports.clone()));
-        tokio::spawn(mesh::report(Arc::clone(&gateway), reports));
+        tokio::spawn(discovery::run(Arc::clone(&gateway), reports.clone()));
+        tokio::spawn(discovery::shape(Arc::clone(&gateway)));
+        tokio::spawn(report::run(Arc::clone(&gateway), reports));
+        tokio::spawn(report::summarize(Arc::clone(&gateway)));
         tokio::spawn(watcher::follow_environment(Arc::clone(&gateway)));
         tokio::spawn(watcher::follow_registrations(Arc::clone(&gateway)));
         tokio::spawn(watcher::sweep(Arc::clone(&gateway)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,15 +62,19 @@
 pub mod speed;
 pub mod sse;
 pub mod store_load;
+pub mod summary;
+pub mod topology;
 pub mod ward;
 
 mod attempt;
 mod body;
 mod delivery;
+mod discovery;
 mod error;
 mod exchange;
 mod forward;
 mod gateway;
+mod gossip;
 mod instance;
 mod keeper;
 mod links;
@@ -80,10 +84,10 @@
 mod pick;
 mod pool;
 mod relay;
+mod report;
 mod server;
 mod tcp;
 mod tenure;
-
 mod watcher;
 
 pub use error::{Category, Error, Result};
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -104,6 +104,8 @@
     }
 
     pub(crate) fn get(&self, instance: &str) -> Option<Arc<Link>> {
-        self.inner.lock().open.get(instance).cloned()
+        let inner = self.inner.lock();
+        let link = inner.open.get(instance);
+        link.filter(|link| !link.queue.is_closed()).cloned()
     }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,8 +7,11 @@
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
 
-use crate::{id, pace};
+use crate::topology::{self, Topology};
+use crate::{forward, id, pace};
 
+/// Instances of a data centre that are enough for its callers.
+const ENOUGH_NEAR: usize = 4;
 /// Time for which an instance counts in the shares of common limits.
 const SHARE_TTL: Duration = Duration::from_secs(30);
 
@@ -42,12 +45,22 @@
 }
 
 /// All other instances.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
+    data_centre: String,
     inner: Mutex<BTreeMap<id::Instance, Member>>,
 }
 
 impl Members {
+    /// Starts without any, for an instance in `data_centre`.
+    #[must_use]
+    pub fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            inner: Mutex::default(),
+        }
+    }
+
     /// Learns of an instance by its greeting or its row; returns whether it is new.
     pub fn learn(&self, hello: &mesh::Hello) -> bool {
         let (Ok(peers), Ok(callers)) = (hello.peers.parse(), hello.callers.parse()) else {
@@ -78,25 +91,99 @@
         true
     }
 
-    /// Records a report of a run of `instance`.
-    pub fn hear(&self, hello: &mesh::Hello, status: &mesh::Status, now: Duration) {
+    /// Records a report of a run of an instance, unless a newer one is known.
+    pub fn hear(&self, report: &mesh::Report, now: Duration) {
         let mut inner = self.inner.lock();
-        let Some(member) = inner.get_mut(&hello.instance) else {
+        let Some(member) = inner.get_mut(&report.hello.instance) else {
             return;
         };
-        if member.incarnation != hello.incarnation {
+        let at = now.saturating_sub(Duration::from_millis(report.age_ms));
+        let is_older = member.heard.is_some_and(|heard| at < heard);
+        if member.incarnation != report.hello.incarnation || is_older {
             return;
         }
-        member.heard = Some(now);
-        member.is_ready = status.ready;
-        member.is_leaving = status.leaving;
-        member.keeper = status.keeper;
-        member.follows = status.follows;
-        if status.lease_version > member.lease.map_or(0, |(version, _)| version) {
-            member.lease = Some((status.lease_version, now));
+        member.heard = Some(at);
+        member.is_ready = report.ready;
+        member.is_leaving = report.leaving;
+        member.keeper = report.keeper;
+        member.follows = report.follows;
+        if report.lease_version > member.lease.map_or(0, |(version, _)| version) {
+            member.lease = Some((report.lease_version, at));
+        }
+        member.environment = report.environment;
+        member.registry = report.registry;
+    }
+
+    /// Last reports of the live instances of this data centre.
+    #[must_use]
+    pub fn reports(&self, now: Duration) -> Vec<mesh::Report> {
+        let inner = self.inner.lock();
+        let silence = self.silence(&inner);
+        inner
+            .iter()
+            .filter(|(_, member)| member.data_centre == self.data_centre)
+            .filter(|(_, member)| member.is_live(now, silence(member)))
+            .map(|(instance, member)| member.report(instance, now))
+            .collect()
+    }
+
+    /// Whether the instance is in this data centre.
+    #[must_use]
+    pub fn is_near(&self, instance: &str) -> bool {
+        let inner = self.inner.lock();
+        let member = inner.get(instance);
+        member.is_some_and(|member| member.data_centre == self.data_centre)
+    }
+
+    /// Instances that this one reports to, itself included.
+    #[must_use]
+    pub fn audience(&self) -> usize {
+        let inner = self.inner.lock();
+        self.near_count(&inner)
+    }
+
+    /// The links that the instance at `own` keeps.
+    #[must_use]
+    pub fn topology(&self, own: SocketAddr, now: Duration) -> Topology {
+        let keeper = self.keeper(now).map(|(instance, _)| instance);
+        let inner = self.inner.lock();
+        let silence = self.silence(&inner);
+        let live = inner
+            .iter()
+            .filter(|(_, member)| member.is_live(now, silence(member)))
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        topology::decide(&topology::View {
+            own,
+            data_centre: &self.data_centre,
+            members: &inner,
+            live: &live,
+            keeper: keeper.as_ref(),
+            now,
+        })
+    }
+
+    fn near_count(&self, inner: &BTreeMap<id::Instance, Member>) -> usize {
+        if !topology::is_tiered(inner.len() + 1) {
+            return inner.len() + 1;
+        }
+        let near = inner
+            .values()
+            .filter(|member| member.data_centre == self.data_centre);
+        near.count() + 1
+    }
+
+    // Time without a report after which a member counts as silent.
+    fn silence(&self, inner: &BTreeMap<id::Instance, Member>) -> impl Fn(&Member) -> Duration {
+        let near = pace::silence(self.near_count(inner));
+        let is_tiered = topology::is_tiered(inner.len() + 1);
+        move |member| {
+            if is_tiered && member.data_centre != self.data_centre {
+                near + pace::SUMMARY_SILENCE
+            } else {
+                near
+            }
         }
-        member.environment = status.environment;
-        member.registry = status.registry;
     }
 
     /// All known instances.
@@ -105,26 +192,36 @@
         self.inner.lock().clone()
     }
 
-    /// Addresses for callers of the instances that take requests.
+    /// Addresses for callers of the instances that take requests. Where there are
+    /// many, only those of this data centre are named if enough of them serve.
     #[must_use]
     pub fn serving(&self, now: Duration) -> Vec<SocketAddr> {
         let inner = self.inner.lock();
-        let silence = pace::silence(inner.len() + 1);
-        inner
+        let silence = self.silence(&inner);
+        let serving: Vec<_> = inner
             .values()
-            .filter(|member| member.is_live(now, silence) && member.is_ready && !member.is_leaving)
+            .filter(|member| member.is_live(now, silence(member)))
+            .filter(|member| member.is_ready && !member.is_leaving)
+            .collect();
+        let near: Vec<_> = serving
+            .iter()
+            .filter(|member| member.data_centre == self.data_centre)
             .map(|member| member.callers)
-            .collect()
+            .collect();
+        if topology::is_tiered(inner.len() + 1) && near.len() >= ENOUGH_NEAR {
+            return near;
+        }
+        serving.into_iter().map(|member| member.callers).collect()
     }
 
     /// The live instance that holds the lease with the highest fencing number.
     #[must_use]
     pub fn keeper(&self, now: Duration) -> Option<(id::Instance, id::Fencing)> {
         let inner = self.inner.lock();
-        let silence = pace::silence(inner.len() + 1);
+        let silence = self.silence(&inner);
         inner
             .iter()
-            .filter(|(_, member)| member.is_live(now, silence) && member.keeper > 0)
+            .filter(|(_, member)| member.is_live(now, silence(member)) && member.keeper > 0)
             .max_by_key(|(_, member)| member.keeper)
             .map(|(instance, member)| (instance.clone(), member.keeper))
     }
@@ -140,10 +237,10 @@
     #[must_use]
     pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
         let inner = self.inner.lock();
-        let silence = pace::silence(inner.len() + 1);
+        let silence = self.silence(&inner);
         let following = inner
             .iter()
-            .filter(|(_, member)| member.is_live(now, silence) && member.follows);
+            .filter(|(_, member)| member.is_live(now, silence(member)) && member.follows);
         following.map(|(instance, _)| instance.clone()).collect()
     }
 
@@ -168,6 +265,27 @@
 }
 
 impl Member {
+    fn report(&self, instance: &str, now: Duration) -> mesh::Report {
+        let age = self.heard.map(|heard| now.saturating_sub(heard));
+        mesh::Report {
+            hello: mesh::Hello {
+                instance: instance.to_owned(),
+                incarnation: self.incarnation.clone(),
+                peers: self.peers.to_string(),
+                callers: self.callers.to_string(),
+                data_centre: self.data_centre.clone(),
+            },
+            age_ms: age.map_or(u64::MAX, forward::millis),
+            ready: self.is_ready,
+            leaving: self.is_leaving,
+            environment: self.environment,
+            registry: self.registry,
+            keeper: self.keeper,
+            lease_version: self.lease.map_or(0, |(version, _)| version),
+            follows: self.follows,
+        }
+    }
+
     /// Whether it was heard within `silence`.
     #[must_use]
     pub fn is_live(&self, now: Duration, silence: Duration) -> bool {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -4,11 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondbank_control::key;
-use almondbank_port::commit;
 use almondbank_port::retry::Backoff;
 use almondbank_port::socket::{self, Reader, Writer};
-use almondbank_port::table::Transaction;
 use almondbank_wire::mesh::{self, Message};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{broadcast, mpsc};
@@ -17,13 +14,14 @@
 
 use crate::error::Code;
 use crate::gateway::Gateway;
+use crate::gossip::{Gossip, Origin, Relation};
 use crate::links::Link;
-use crate::{Result, pace, tcp};
+use crate::report::Reports;
+use crate::{Result, report, tcp};
 
 /// Environment name in the keys of the system's own rows.
 pub(crate) const ENVIRONMENT: &str = "main";
 
-const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(20);
 /// Unacknowledged data for this long means that a peer cannot be reached.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Time without a report after which a connection counts as lost.
@@ -31,143 +29,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 const REDIAL_BASE: Duration = Duration::from_millis(200);
 const REDIAL_MAX: Duration = Duration::from_secs(2);
-const REGISTER_TIMEOUT: Duration = Duration::from_secs(5);
-const REGISTER_RETRY: Duration = Duration::from_secs(1);
-/// Time between two reads of the rows of all instances.
-const SCAN_INTERVAL: Duration = Duration::from_secs(15);
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(1200);
-const STATUS_QUEUE: usize = 32;
 const REPLY_QUEUE: usize = 64;
 /// Time for which a peer may know more before this instance asks for it.
 const MAX_LAG: Duration = Duration::from_millis(200);
 
-/// Sender of this instance's reports.
-pub(crate) type Reports = broadcast::Sender<Arc<mesh::Status>>;
-
-/// Makes the channel of reports.
-pub(crate) fn reports() -> Reports {
-    broadcast::Sender::new(STATUS_QUEUE)
-}
-
-/// Reports this instance's state at an interval, and at once when a request
-/// begins to wait for a model or the environment changes. Where there are many
-/// instances, only the keeper hears of that at once.
-pub(crate) async fn report(gateway: Arc<Gateway>, reports: Reports) {
-    let mut version = gateway.version.subscribe();
-    loop {
-        let now = gateway.now();
-        let instances = gateway.members.share_count(now);
-        let mut status = gateway.status();
-        status.kept = gateway.kept.take_news();
-        count_own(&gateway, &status, now);
-        let is_told = status.leaving;
-        // Nobody listens while this instance is alone.
-        let _ = reports.send(Arc::new(status));
-        let next = now + pace::interval(instances);
-        let earliest = now + pace::pause(instances);
-        loop {
-            gateway.clock.sleep(MIN_STATUS_INTERVAL).await;
-            let now = gateway.now();
-            tokio::select! {
-                () = gateway.stopped.cancelled() => return,
-                () = gateway.demand.urgent() => {}
-                _ = version.changed() => break,
-                () = gateway.leaving.cancelled(), if !is_told => break,
-                () = gateway.clock.sleep(next.saturating_sub(now)) => break,
-            }
-            if gateway.now() >= earliest {
-                break;
-            }
-            tell_keeper(&gateway);
-        }
-    }
-}
-
-fn count_own(gateway: &Gateway, status: &mesh::Status, now: Duration) {
-    let instance = &gateway.settings.instance;
-    gateway.interests.add(instance, &status.demands, now);
-}
-
-fn tell_keeper(gateway: &Gateway) {
-    let now = gateway.now();
-    let status = gateway.status();
-    count_own(gateway, &status, now);
-    let keeper = gateway.members.keeper(now);
-    let link = keeper.and_then(|(instance, _)| gateway.links.get(&instance));
-    if let Some(link) = link {
-        link.offer(Message::Status(status));
-    }
-}
-
-/// Registers this instance and dials the others.
-pub(crate) async fn discover(gateway: Arc<Gateway>, reports: Reports) {
-    gateway.links.claim(gateway.settings.listen.peers);
-    for seed in gateway.settings.seeds.clone() {
-        dial(&gateway, &reports, seed);
-    }
-    let mut is_registered = false;
-    loop {
-        if !is_registered {
-            is_registered = register(&gateway).await;
-        }
-        let is_read = read_members(&gateway, &reports).await;
-        let pause = if is_registered && is_read {
-            SCAN_INTERVAL
-        } else {
-            REGISTER_RETRY
-        };
-        tokio::select! {
-            () = gateway.stopped.cancelled() => return,
-            () = gateway.clock.sleep(pause) => {}
-        }
-    }
-}
-
-async fn register(gateway: &Gateway) -> bool {
-    let key = key::member(ENVIRONMENT, &gateway.settings.instance);
-    let row = key::encode(&gateway.hello());
-    let transaction = Transaction::new(format!("{}/register", gateway.incarnation)).put(key, row);
-    let deadline = gateway.now() + REGISTER_TIMEOUT;
-    let settled = commit::settle(
-        &*gateway.ports.table,
-        &*gateway.clock,
-        &transaction,
-        deadline,
-    )
-    .await;
-    match settled {
-        Ok(_) => true,
-        Err(error) => {
-            log::warn!(error:% = error; "instance is not registered");
-            false
-        }
-    }
-}
-
-async fn read_members(gateway: &Arc<Gateway>, reports: &Reports) -> bool {
-    let rows = match gateway.ports.table.scan(&key::members(ENVIRONMENT)).await {
-        Ok(rows) => rows,
-        Err(error) => {
-            log::warn!(error:% = error; "members are not read");
-            return false;
-        }
-    };
-    for row in rows {
-        match key::decode::<mesh::Hello>(&row.key, &row.value) {
-            Ok(hello) if hello.instance == gateway.settings.instance => {}
-            Ok(hello) => {
-                gateway.members.learn(&hello);
-                if let Ok(address) = hello.peers.parse() {
-                    dial(gateway, reports, address);
-                }
-            }
-            Err(error) => log::warn!(error:% = error; "row of a member is malformed"),
-        }
-    }
-    true
-}
-
-fn dial(gateway: &Arc<Gateway>, reports: &Reports, address: SocketAddr) {
+pub(crate) fn dial(gateway: &Arc<Gateway>, reports: &Reports, address: SocketAddr) {
     if gateway.links.claim(address) {
         tokio::spawn(keep_link(Arc::clone(gateway), reports.clone(), address));
     }
@@ -175,9 +42,17 @@
 
 async fn keep_link(gateway: Arc<Gateway>, reports: Reports, address: SocketAddr) {
     let mut backoff = Backoff::new(REDIAL_BASE, REDIAL_MAX);
+    let mut wanted = gateway.topology.subscribe();
+    let mut unwanted = gateway.topology.subscribe();
     loop {
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
+            // The sender lives as long as the gateway.
+            _ = wanted.wait_for(|topology| topology.wants(address)) => {}
+        }
+        tokio::select! {
+            () = gateway.stopped.cancelled() => return,
+            _ = unwanted.wait_for(|topology| !topology.wants(address)) => {}
             ended = link(&gateway, &reports, address, &mut backoff) => {
                 if let Err(error) = ended {
                     log::debug!(peer:% = address, error:% = error; "link ended");
@@ -195,8 +70,7 @@
     backoff: &mut Backoff,
 ) -> Result<()> {
     let mut statuses = reports.subscribe();
-    let mut news = gateway.news.subscribe();
-    let mut held = gateway.held.subscribe();
+    let mut gossip = gateway.gossip.subscribe();
     let (mut writer, mut reader) = time::timeout(CONNECT_TIMEOUT, connect(address))
         .await
         .map_err(|_| Code::Timeout)??;
@@ -214,23 +88,20 @@
             let message = tokio::select! {
                 Some(message) = queue.recv() => message,
                 status = statuses.recv() => match status {
-                    Ok(status) => Message::Status((*status).clone()),
+                    Ok(status) if gateway.relation(&peer) == Relation::Near => {
+                        Message::Status((*status).clone())
+                    }
+                    Ok(status) => Message::Status(report::bare(&status)),
                     Err(broadcast::error::RecvError::Lagged(count)) => {
                         log::warn!(peer = peer.instance.as_str(), count; "reports skipped");
                         continue;
                     }
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
-                held = held.recv() => match held {
-                    Ok(held) => Message::Held(held),
-                    // The next report of the runner brings all that it holds.
-                    Err(_) => continue,
-                },
-                changes = news.recv() => match changes {
-                    Ok(_) if gateway.members.is_follower(&peer.instance) => continue,
-                    Ok(changes) => Message::Registry((*changes).clone()),
-                    // The peer notices the gap and asks.
-                    Err(_) => continue,
+                gossip = gossip.recv() => match gossip {
+                    Ok(gossip) if is_due(gateway, &gossip, &peer) => gossip.message.clone(),
+                    // What is skipped the peer misses and asks for, or it comes anew.
+                    Ok(_) | Err(_) => continue,
                 },
             };
             time::timeout(SILENCE, writer.send(&message))
@@ -257,6 +128,13 @@
     ended
 }
 
+// Instances that follow the store need no registrations.
+fn is_due(gateway: &Gateway, gossip: &Gossip, peer: &mesh::Hello) -> bool {
+    let is_known = matches!(gossip.message, Message::Registry(_))
+        && gateway.members.is_follower(&peer.instance);
+    !is_known && gossip.is_for(gateway.relation(peer))
+}
+
 async fn connect(address: SocketAddr) -> Result<(Writer, Reader)> {
     let stream = tcp::connect(address, CONNECT_TIMEOUT, SILENCE).await?;
     let url = format!("ws://{address}/mesh");
@@ -330,10 +208,23 @@
         match message {
             Message::Status(status) => {
                 hear(gateway, &peer, &status);
-                if let Some(fetch) = lag(gateway, &status, &mut behind_since) {
+                let news = News {
+                    environment: status.environment,
+                    registry: status.registry,
+                };
+                if let Some(fetch) = lag(gateway, &news, &mut behind_since) {
                     writer.send(&fetch).await?;
                 }
             }
+            Message::Summary(summary) => {
+                let news = learn(gateway, reports, &summary);
+                if gateway.is_tiered() && !gateway.is_near_data_centre(&peer.data_centre) {
+                    gateway.pass_on(Message::Summary(summary), Origin::Far);
+                    if let Some(fetch) = lag(gateway, &news, &mut behind_since) {
+                        writer.send(&fetch).await?;
+                    }
+                }
+            }
             Message::AdapterRequest(request) => answer_adapter(gateway, request, replies.clone()),
             message => accept(gateway, &peer, message),
         }
@@ -342,7 +233,10 @@
 
 fn hear(gateway: &Gateway, peer: &mesh::Hello, status: &mesh::Status) {
     let now = gateway.now();
-    gateway.members.hear(peer, status, now);
+    gateway.members.hear(&report::of(peer, status), now);
+    if gateway.is_near_data_centre(&peer.data_centre) {
+        gateway.collector.add(&peer.instance, status);
+    }
     gateway.interests.add(&peer.instance, &status.demands, now);
     gateway
         .book
@@ -350,23 +244,55 @@
     gateway.kept.learn(status.kept.clone(), now);
 }
 
+/// What the sender of a message knows.
+struct News {
+    environment: u64,
+    registry: u64,
+}
+
+// Takes over what another data centre told; returns the newest that its
+// instances know.
+fn learn(gateway: &Arc<Gateway>, reports: &Reports, summary: &mesh::Summary) -> News {
+    let mut news = News {
+        environment: 0,
+        registry: 0,
+    };
+    if gateway.is_near_data_centre(&summary.data_centre) {
+        return news;
+    }
+    let now = gateway.now();
+    for report in &summary.members {
+        if gateway.members.learn(&report.hello)
+            && let Ok(address) = report.hello.peers.parse()
+        {
+            dial(gateway, reports, address);
+        }
+        gateway.members.hear(report, now);
+        news.environment = news.environment.max(report.environment);
+        news.registry = news.registry.max(report.registry);
+    }
+    let loads = summary.loads.clone();
+    gateway.book.report_all(&summary.data_centre, loads, now);
+    gateway
+        .interests
+        .add(&summary.data_centre, &summary.demands, now);
+    gateway.kept.learn(summary.kept.clone(), now);
+    news
+}
+
 // Asks for what the peer knows and this instance does not, once that has
 // lasted: the store's own feed is usually as fast.
-fn lag(
-    gateway: &Gateway,
-    status: &mesh::Status,
-    behind_since: &mut Option<Duration>,
-) -> Option<Message> {
+fn lag(gateway: &Gateway, news: &News, behind_since: &mut Option<Duration>) -> Option<Message> {
     let fetch = mesh::Fetch {
         environment: *gateway.version.borrow(),
         registry: gateway.roster.newest(),
     };
     gateway.heard.send_if_modified(|heard| {
-        let is_newer = status.environment > *heard;
-        *heard = (*heard).max(status.environment);
+        let is_newer = news.environment > *heard;
+        *heard = (*heard).max(news.environment);
         is_newer
     });
-    let is_behind = status.environment > fetch.environment || status.registry > fetch.registry;
+    let is_behind = news.environment > fetch.environment || news.registry > fetch.registry;
     if !is_behind {
         *behind_since = None;
         return None;
@@ -391,8 +317,14 @@
                 ),
             }
         }
-        Message::Held(held) => gateway.roster.hold(held),
+        Message::Held(held) => {
+            gateway.roster.hold(held.clone());
+            spread(gateway, peer, Message::Held(held));
+        }
         Message::Registry(registry) => {
+            if registry.after.is_some() {
+                spread(gateway, peer, Message::Registry(registry.clone()));
+            }
             let now = gateway.now();
             let (revision, known) = (registry.revision, gateway.roster.newest());
             let is_taken = gateway.roster.merge(registry, now);
@@ -408,6 +340,19 @@
     }
 }
 
+// Passes on what a peer told to the instances that it does not reach.
+fn spread(gateway: &Gateway, peer: &mesh::Hello, message: Message) {
+    if !gateway.is_tiered() {
+        return;
+    }
+    let origin = if gateway.is_near_data_centre(&peer.data_centre) {
+        Origin::Near
+    } else {
+        Origin::Far
+    };
+    gateway.pass_on(message, origin);
+}
+
 // The answers go by the connection that this instance made to the peer.
 fn answer_fetch(gateway: &Gateway, peer: &mesh::Hello, fetch: &mesh::Fetch) {
     let Some(link) = gateway.links.get(&peer.instance) else {
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -9,6 +9,10 @@
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(15);
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(8);
+/// Time between two summaries of a data centre for the others.
+pub const SUMMARY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a summary after which the instances in it count as silent.
+pub const SUMMARY_SILENCE: Duration = Duration::from_millis(1500);
 /// Instances up to which everything is told to all at once.
 const FEW: u32 = 10;
 /// Reports that may be missed before an instance counts as silent.
--- /dev/null
+++ b/crates/gateway/src/report.rs
@@ -0,0 +1,128 @@
+//! What this instance tells the others of itself and of its data centre.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondbank_wire::mesh::{self, Message};
+use tokio::sync::broadcast;
+
+use crate::gateway::Gateway;
+use crate::gossip::Origin;
+use crate::pace;
+
+const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(20);
+const STATUS_QUEUE: usize = 32;
+
+/// Sender of this instance's reports.
+pub(crate) type Reports = broadcast::Sender<Arc<mesh::Status>>;
+
+/// Makes the channel of reports.
+pub(crate) fn channel() -> Reports {
+    broadcast::Sender::new(STATUS_QUEUE)
+}
+
+/// Reports this instance's state at an interval, and at once when a request
+/// begins to wait for a model or the environment changes. Where there are many
+/// instances, only the keeper hears of that at once.
+pub(crate) async fn run(gateway: Arc<Gateway>, reports: Reports) {
+    let mut version = gateway.version.subscribe();
+    loop {
+        let now = gateway.now();
+        let instances = gateway.members.audience();
+        let mut status = gateway.status();
+        status.kept = gateway.kept.take_news();
+        count_own(&gateway, &status, now);
+        let is_told = status.leaving;
+        // Nobody listens while this instance is alone.
+        let _ = reports.send(Arc::new(status));
+        let next = now + pace::interval(instances);
+        let earliest = now + pace::pause(instances);
+        loop {
+            gateway.clock.sleep(MIN_STATUS_INTERVAL).await;
+            let now = gateway.now();
+            tokio::select! {
+                () = gateway.stopped.cancelled() => return,
+                () = gateway.demand.urgent() => {}
+                _ = version.changed() => break,
+                () = gateway.leaving.cancelled(), if !is_told => break,
+                () = gateway.clock.sleep(next.saturating_sub(now)) => break,
+            }
+            if gateway.now() >= earliest {
+                break;
+            }
+            tell_keeper(&gateway);
+        }
+    }
+}
+
+fn count_own(gateway: &Gateway, status: &mesh::Status, now: Duration) {
+    let instance = &gateway.settings.instance;
+    gateway.interests.add(instance, &status.demands, now);
+    gateway.collector.add(instance, status);
+}
+
+fn tell_keeper(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut status = gateway.status();
+    count_own(gateway, &status, now);
+    let Some((keeper, _)) = gateway.members.keeper(now) else {
+        return;
+    };
+    if !gateway.is_near(&keeper) {
+        // The summary of this data centre tells of its work.
+        status.loads.clear();
+    }
+    if let Some(link) = gateway.links.get(&keeper) {
+        link.offer(Message::Status(status));
+    }
+}
+
+/// What an instance hears that is told the rest by a summary.
+pub(crate) fn bare(status: &mesh::Status) -> mesh::Status {
+    mesh::Status {
+        loads: Vec::new(),
+        demands: Vec::new(),
+        kept: Vec::new(),
+        ..status.clone()
+    }
+}
+
+/// The report of a peer as others are told it.
+pub(crate) fn of(hello: &mesh::Hello, status: &mesh::Status) -> mesh::Report {
+    mesh::Report {
+        hello: hello.clone(),
+        age_ms: 0,
+        ready: status.ready,
+        leaving: status.leaving,
+        environment: status.environment,
+        registry: status.registry,
+        keeper: status.keeper,
+        lease_version: status.lease_version,
+        follows: status.follows,
+    }
+}
+
+/// Tells the other data centres of this one, while this instance speaks for it.
+pub(crate) async fn summarize(gateway: Arc<Gateway>) {
+    loop {
+        tokio::select! {
+            () = gateway.stopped.cancelled() => return,
+            () = gateway.clock.sleep(pace::SUMMARY_INTERVAL) => {}
+        }
+        let (demands, kept) = gateway.collector.take();
+        if !gateway.topology.borrow().is_speaker {
+            continue;
+        }
+        let now = gateway.now();
+        let mut members = gateway.members.reports(now);
+        members.push(of(&gateway.hello(), &gateway.status_without_counts()));
+        let summary = mesh::Summary {
+            data_centre: gateway.settings.data_centre.clone(),
+            members,
+            loads: gateway.book.near(now),
+            demands,
+            kept,
+        };
+        gateway.pass_on(Message::Summary(summary), Origin::Near);
+    }
+}
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -15,6 +15,7 @@
 
 use crate::book::Book;
 use crate::gateway::Gateway;
+use crate::gossip::{Gossip, Origin};
 use crate::metrics::Metrics;
 use crate::order::{Action, Order, Orders, Receipt};
 use crate::planner::{self, Decision, Tier};
@@ -49,7 +50,7 @@
     orders: Arc<dyn Orders>,
     metrics: Metrics,
     roster: Arc<Roster>,
-    held: broadcast::Sender<mesh::Held>,
+    gossip: broadcast::Sender<Arc<Gossip>>,
     /// End of the term, and version of the lease row that was written last.
     term: Mutex<(Duration, u64)>,
     wards: Mutex<BTreeMap<id::Runner, Ward>>,
@@ -70,7 +71,7 @@
             orders: Arc::clone(&gateway.ports.orders),
             metrics: gateway.metrics.clone(),
             roster: Arc::clone(&gateway.roster),
-            held: gateway.held.clone(),
+            gossip: gateway.gossip.clone(),
             term: Mutex::new((lease.valid_until(), lease.version())),
             wards: Mutex::default(),
             store_loads: Mutex::new(store_load::Loads::new(
@@ -464,8 +465,12 @@
                         models: report.models,
                     };
                     self.roster.hold(held.clone());
+                    let gossip = Gossip {
+                        message: mesh::Message::Held(held),
+                        origin: Origin::Own,
+                    };
                     // Nobody listens while this instance is alone.
-                    let _ = self.held.send(held);
+                    let _ = self.gossip.send(Arc::new(gossip));
                 }
             }
             Err(error) => log::info!(runner, error:% = error; "runner does not report"),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -9,6 +9,7 @@
 
 use crate::feed::Change;
 use crate::gateway::Gateway;
+use crate::gossip::Origin;
 use crate::{Category, Result, follower};
 
 /// Longest wait for changes. A call that the store never answers must end, and
@@ -131,8 +132,7 @@
         };
         registry.revision = registry.revision.max(revision);
     }
-    // Nobody listens while this instance is alone.
-    let _ = gateway.news.send(Arc::new(registry));
+    gateway.pass_on(mesh::Message::Registry(registry), Origin::Own);
 }
 
 /// Closes idle connections and forgets runners that are gone.
