Plans and choices that stay cheap with many runners and models

Change: an index for a plan; plans leave four fifths of the time; a choice copies replicas only; a fetch needs the same change to be missing for 200 ms; small VMs contend for the lease later (cpu_share); environment reads of those that do not follow are paced. Runners' own failures that are tried again are no longer logged as answers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::pool::Failure;
 use crate::refusal::{Reason, Refusal};
 use crate::route::Kind;
-use crate::{demand, mesh, relay};
+use crate::{demand, id, mesh, relay};
 
 /// Time kept for the way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(15);
@@ -46,7 +46,7 @@
     /// Event after which a stream goes on.
     resume_after: Option<u64>,
     /// A runner's own failure, passed on if no other runner does better.
-    failed: Option<Outcome>,
+    failed: Option<(id::Runner, Outcome)>,
 }
 
 impl Attempt {
@@ -79,7 +79,13 @@
             }
         };
         match tried {
-            Err(refusal) => self.failed.take().ok_or(refusal),
+            Err(refusal) => match self.failed.take() {
+                Some((runner, failure)) => {
+                    self.log_answer(&runner, failure.status());
+                    Ok(failure)
+                }
+                None => Err(refusal),
+            },
             outcome => outcome,
         }
     }
@@ -127,8 +133,13 @@
                 Sent::NotRun(verdict) => self.note_not_run(&runner, verdict),
                 Sent::Failed(outcome) => {
                     self.runs += 1;
-                    self.excluded.tried.insert(runner);
-                    self.failed = Some(outcome);
+                    log::info!(
+                        request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                        status = outcome.status(), send = self.sends;
+                        "runner failed the request"
+                    );
+                    self.excluded.tried.insert(runner.clone());
+                    self.failed = Some((runner, outcome));
                     if !self.may_repeat() {
                         return Err(Refusal::new(Reason::Broken));
                     }
@@ -425,12 +436,12 @@
         };
         delivery.entry.start();
         delivery.keep(gateway, &self.exchange.body, &head);
-        self.log_answer(&runner, head.status.as_u16());
-        let is_failure = head.status.is_server_error();
+        let status = head.status;
         let outcome = Outcome::Whole(Box::new(head), bytes);
-        if is_failure {
+        if status.is_server_error() {
             return Sent::Failed(outcome);
         }
+        self.log_answer(&runner, status.as_u16());
         gateway.health.succeed(&runner);
         Sent::Answer(outcome)
     }
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -13,6 +13,13 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between two plans.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(15);
+/// Pause after a plan as a multiple of the time that it took, so that planning
+/// leaves most of the processor to requests.
+const PLAN_PAUSE_FACTOR: u32 = 4;
+/// Time that an instance on a whole core waits before it contends; others wait
+/// longer in proportion.
+const CONTEND_DELAY: Duration = Duration::from_millis(80);
+const MIN_CPU_SHARE: f64 = 0.05;
 const CONTEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Time in which a started instance hears of a keeper before it contends.
 const SETTLE: Duration = Duration::from_millis(300);
@@ -32,7 +39,10 @@
     let table = Arc::clone(&gateway.ports.table);
     let mut contender = Contender::new(identity, table, Arc::clone(&gateway.clock));
     let jitter = Duration::from_millis(rand::random::<u64>() % JITTER_MS);
-    gateway.clock.sleep(SETTLE + jitter).await;
+    gateway
+        .clock
+        .sleep(SETTLE + jitter + contend_delay(&gateway))
+        .await;
     while !gateway.leaving.is_cancelled() {
         let now = gateway.now();
         let is_needed = gateway
@@ -42,6 +52,10 @@
             if let Some((version, heard)) = gateway.members.lease() {
                 contender.hear(version, heard);
             }
+            pause(&gateway, contend_delay(&gateway)).await;
+            if gateway.members.keeper(gateway.now()).is_some() {
+                continue;
+            }
             match contender.poll().await {
                 Ok(Some(lease)) => {
                     hold(&gateway, lease).await;
@@ -67,6 +81,11 @@
     }
 }
 
+// Small VMs leave the lease to large ones, if there are any.
+fn contend_delay(gateway: &Gateway) -> Duration {
+    CONTEND_DELAY.div_f64(gateway.settings.cpu_share.clamp(MIN_CPU_SHARE, 1.0))
+}
+
 async fn pause(gateway: &Gateway, duration: Duration) {
     tokio::select! {
         () = gateway.leaving.cancelled() => {}
@@ -144,12 +163,15 @@
 async fn plan(gateway: &Gateway, tenure: &Arc<Tenure>) {
     let mut changed = gateway.roster.subscribe();
     loop {
+        let began = gateway.now();
         if let Some(environment) = gateway.environment() {
             for (service, engine) in environment.engines() {
                 tenure.plan(gateway, service, engine);
             }
         }
-        gateway.clock.sleep(MIN_PLAN_INTERVAL).await;
+        let taken = gateway.now().saturating_sub(began);
+        let pause = MIN_PLAN_INTERVAL.max(taken * PLAN_PAUSE_FACTOR);
+        gateway.clock.sleep(pause.min(PLAN_INTERVAL)).await;
         tokio::select! {
             _ = changed.changed() => {}
             () = gateway.demand.urgent() => {}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -196,7 +196,7 @@
         dial(gateway, reports, address);
     }
     let (replies, mut queue) = mpsc::channel(REPLY_QUEUE);
-    let mut behind_since = None;
+    let mut behind = None;
     loop {
         let message = tokio::select! {
             message = reader.receive::<Message>(REPORT_TIMEOUT) => message?,
@@ -212,7 +212,7 @@
                     environment: status.environment,
                     registry: status.registry,
                 };
-                if let Some(fetch) = lag(gateway, &news, &mut behind_since) {
+                if let Some(fetch) = lag(gateway, news, &mut behind) {
                     writer.send(&fetch).await?;
                 }
             }
@@ -220,7 +220,7 @@
                 let news = learn(gateway, reports, &summary);
                 if gateway.is_tiered() && !gateway.is_near_data_centre(&peer.data_centre) {
                     gateway.pass_on(Message::Summary(summary), Origin::Far);
-                    if let Some(fetch) = lag(gateway, &news, &mut behind_since) {
+                    if let Some(fetch) = lag(gateway, news, &mut behind) {
                         writer.send(&fetch).await?;
                     }
                 }
@@ -245,11 +245,18 @@
 }
 
 /// What the sender of a message knows.
+#[derive(Clone, Copy)]
 struct News {
     environment: u64,
     registry: u64,
 }
 
+impl News {
+    fn is_ahead_of(&self, known: &mesh::Fetch) -> bool {
+        self.environment > known.environment || self.registry > known.registry
+    }
+}
+
 // Takes over what another data centre told; returns the newest that its
 // instances know.
 fn learn(gateway: &Arc<Gateway>, reports: &Reports, summary: &mesh::Summary) -> News {
@@ -282,7 +289,7 @@
 
 // Asks for what the peer knows and this instance does not, once that has
 // lasted: the store's own feed is usually as fast.
-fn lag(gateway: &Gateway, news: &News, behind_since: &mut Option<Duration>) -> Option<Message> {
+fn lag(gateway: &Gateway, news: News, behind: &mut Option<(Duration, News)>) -> Option<Message> {
     let fetch = mesh::Fetch {
         environment: *gateway.version.borrow(),
         registry: gateway.roster.newest(),
@@ -292,13 +299,14 @@
         *heard = (*heard).max(news.environment);
         is_newer
     });
-    let is_behind = news.environment > fetch.environment || news.registry > fetch.registry;
-    if !is_behind {
-        *behind_since = None;
+    // Only what was missing then counts: something newer is missing all the time
+    // where changes are frequent.
+    *behind = behind.filter(|(_, missing)| missing.is_ahead_of(&fetch));
+    if !news.is_ahead_of(&fetch) {
         return None;
     }
     let now = gateway.now();
-    let since = *behind_since.get_or_insert(now);
+    let (since, _) = *behind.get_or_insert((now, news));
     let is_new = fetch.environment == 0 || fetch.registry == 0;
     let is_due = is_new || now.saturating_sub(since) >= MAX_LAG;
     is_due.then_some(Message::Fetch(fetch))
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -29,6 +29,15 @@
     Stream(Box<Source>),
 }
 
+impl Outcome {
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Self::Whole(head, _) => head.status.as_u16(),
+            Self::Stream(source) => source.head.status.as_u16(),
+        }
+    }
+}
+
 /// A stream from a runner.
 pub(crate) struct Source {
     pub(crate) delivery: Delivery,
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -58,16 +58,16 @@
     if exchange.remaining(now) <= MIN_SERVICE {
         return Pick::Refuse(Refusal::new(Reason::Expired));
     }
-    let mut runners = gateway.roster.usable(&exchange.service, now);
-    if runners.is_empty() {
+    let roster = &gateway.roster;
+    if !roster.has_usable(&exchange.service, now) {
         return Pick::Wait(Refusal::new(Reason::NoRunner).after(ABSENT_RETRY_AFTER));
     }
-    if let Some((engine, target)) = exchange.engine().zip(exchange.call.target.as_ref()) {
+    let target = exchange.engine().zip(exchange.call.target.as_ref());
+    let mut runners = if let Some((engine, target)) = target {
         let Some(model) = engine.models.get(&target.model) else {
             return Pick::Refuse(Refusal::new(Reason::NoReplica));
         };
-        let has_copy = runners.iter().any(|runner| runner.has_copy(&target.model));
-        runners.retain(|runner| runner.holds_model(&target.model, now));
+        let (runners, has_copy) = roster.replicas(&exchange.service, &target.model, now);
         if runners.is_empty() {
             let load = if has_copy {
                 model.disk_load
@@ -76,7 +76,10 @@
             };
             return wait_for_replica(exchange, load + LOAD_SLACK, now);
         }
-    }
+        runners
+    } else {
+        roster.usable(&exchange.service, now)
+    };
     runners.retain(|runner| !excluded.tried.contains(runner.id()));
     if runners.is_empty() {
         return Pick::Refuse(Refusal::new(Reason::Overloaded).after(BUSY_RETRY_AFTER));
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -121,6 +121,7 @@
 pub fn decide(view: &View<'_>) -> Vec<Decision> {
     let mut round = Round {
         view,
+        index: Index::new(&view.runners),
         store_loads: view.store_loads,
         taken: BTreeSet::new(),
         decisions: Vec::new(),
@@ -134,12 +135,57 @@
 
 struct Round<'a> {
     view: &'a View<'a>,
+    index: Index<'a>,
     store_loads: usize,
     /// Runners that have a decision already.
     taken: BTreeSet<&'a str>,
     decisions: Vec<Decision>,
 }
 
+/// What all runners together have, by model.
+#[derive(Default)]
+struct Index<'a> {
+    /// Replicas that are held, coming, or planned.
+    replicas: BTreeMap<&'a str, usize>,
+    /// Replicas that take requests.
+    ready: BTreeMap<&'a str, usize>,
+    /// Models with a copy in memory or on disk.
+    copies: BTreeSet<&'a str>,
+    /// Models with a replica that is coming or has little to read.
+    relieved: BTreeSet<&'a str>,
+}
+
+impl<'a> Index<'a> {
+    fn new(runners: &'a BTreeMap<id::Runner, Runner>) -> Self {
+        let mut index = Self::default();
+        for runner in runners.values() {
+            index.add(runner);
+        }
+        index
+    }
+
+    fn add(&mut self, runner: &'a Runner) {
+        let copies = runner.in_memory.iter().chain(&runner.on_disk);
+        self.copies.extend(copies.map(String::as_str));
+        let coming = runner.loading.iter().chain(&runner.reserved_for);
+        let mut named: BTreeSet<&str> = coming.map(String::as_str).collect();
+        named.extend(runner.models.iter().map(String::as_str));
+        for model in named {
+            let is_held = runner.models.contains(model);
+            if runner.provides(model) {
+                *self.replicas.entry(model).or_default() += 1;
+            }
+            if is_held && runner.unloading.as_deref() != Some(model) {
+                *self.ready.entry(model).or_default() += 1;
+            }
+            let is_coming = !is_held && runner.provides(model);
+            if is_coming || (is_held && runner.pending_tokens <= STRAINED_TOKENS) {
+                self.relieved.insert(model);
+            }
+        }
+    }
+}
+
 /// A place where a model could go.
 struct Place<'a> {
     runner: &'a str,
@@ -161,21 +207,12 @@
 
     /// Replicas that are held, coming, or planned.
     fn replicas(&self, model: &str) -> usize {
-        self.view
-            .runners
-            .values()
-            .filter(|runner| runner.provides(model))
-            .count()
+        self.index.replicas.get(model).copied().unwrap_or_default()
     }
 
     /// Replicas that take requests.
     fn ready(&self, model: &str) -> usize {
-        self.view
-            .runners
-            .values()
-            .filter(|runner| runner.models.contains(model))
-            .filter(|runner| runner.unloading.as_deref() != Some(model))
-            .count()
+        self.index.ready.get(model).copied().unwrap_or_default()
     }
 
     fn fill_reserved(&mut self) {
@@ -221,8 +258,7 @@
     }
 
     fn has_copy(&self, model: &str) -> bool {
-        let mut runners = self.view.runners.values();
-        runners.any(|runner| runner.tier(model) != Tier::Store)
+        self.index.copies.contains(model)
     }
 
     // Whether the replicas read prompts for too much of their time, or all have
@@ -234,14 +270,7 @@
         if busy > replicas * UTILIZATION {
             return true;
         }
-        let mut runners = self.view.runners.values();
-        let provided = runners.clone().any(|runner| runner.provides(model));
-        provided
-            && runners.all(|runner| {
-                let ready = runner.models.contains(model);
-                let coming = !ready && runner.provides(model);
-                !coming && (!ready || runner.pending_tokens > STRAINED_TOKENS)
-            })
+        self.replicas(model) > 0 && !self.index.relieved.contains(model)
     }
 
     fn place(&mut self, model: &str) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -289,6 +289,32 @@
             .collect()
     }
 
+    /// Those of them that hold the model, and whether any has a copy of it.
+    #[must_use]
+    pub fn replicas(&self, service: &str, model: &str, now: Duration) -> (Vec<Runner>, bool) {
+        let inner = self.inner.lock();
+        let mut has_copy = false;
+        let mut replicas = Vec::new();
+        for runner in inner.runners.values() {
+            if runner.registration.service != service || !runner.is_usable(now) {
+                continue;
+            }
+            has_copy |= runner.has_copy(model);
+            if runner.holds_model(model, now) {
+                replicas.push(runner.clone());
+            }
+        }
+        (replicas, has_copy)
+    }
+
+    /// Whether new work may be sent to any runner of `service`.
+    #[must_use]
+    pub fn has_usable(&self, service: &str, now: Duration) -> bool {
+        let inner = self.inner.lock();
+        let mut runners = inner.runners.values();
+        runners.any(|runner| runner.registration.service == service && runner.is_usable(now))
+    }
+
     /// The runner with this id, if its entry is there.
     #[must_use]
     pub fn get(&self, runner: &str) -> Option<Runner> {
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::book::Book;
+use crate::book::{Book, Work};
 use crate::gateway::Gateway;
 use crate::gossip::{Gossip, Origin};
 use crate::metrics::Metrics;
@@ -150,7 +150,10 @@
         service: &str,
         now: Duration,
     ) -> BTreeMap<id::Runner, planner::Runner> {
-        let by_model = book.by_model(now);
+        let mut work: BTreeMap<id::Runner, Vec<(id::Model, Work)>> = BTreeMap::new();
+        for ((runner, model), of_model) in book.by_model(now) {
+            work.entry(runner).or_default().push((model, of_model));
+        }
         let wards = self.wards.lock();
         gateway
             .roster
@@ -159,10 +162,11 @@
             .filter(|runner| !gateway.health.is_ejected(runner.id(), now))
             .filter_map(|runner| {
                 let ward = wards.get(runner.id())?;
-                let work = by_model.iter().filter(|((of, _), _)| of == runner.id());
-                let pending_tokens = work.clone().map(|(_, work)| work.pending_tokens).sum();
+                let work = work.remove(runner.id()).unwrap_or_default();
+                let pending_tokens = work.iter().map(|(_, work)| work.pending_tokens).sum();
                 let requests = work
-                    .map(|((_, model), work)| (model.clone(), work.requests()))
+                    .into_iter()
+                    .map(|(model, work)| (model, work.requests()))
                     .collect();
                 let view = ward.view(requests, pending_tokens, now);
                 Some((runner.id().clone(), view))
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -19,6 +19,11 @@
 const FOLLOWER_CHECK: Duration = Duration::from_millis(200);
 /// Pause between two calls that both brought changes.
 const REGISTRATIONS_PAUSE: Duration = Duration::from_millis(150);
+/// The same where there are many instances and runners.
+const TIERED_REGISTRATIONS_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two reads of an environment that others follow, so that changes
+/// in quick succession are read together.
+const ENVIRONMENT_PAUSE: Duration = Duration::from_millis(600);
 const RETRY_BASE: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(1);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
@@ -33,6 +38,9 @@
         if !watch.settle(&gateway, result).await {
             return;
         }
+        if gateway.is_tiered() && !is_follower(&gateway) {
+            gateway.clock.sleep(ENVIRONMENT_PAUSE).await;
+        }
         while !watch.is_lost && !is_follower(&gateway) && !is_behind(&gateway) {
             watch.revision = None;
             tokio::select! {
@@ -72,7 +80,12 @@
         if !watch.settle(&gateway, result).await {
             return;
         }
-        gateway.clock.sleep(REGISTRATIONS_PAUSE).await;
+        let pause = if gateway.is_tiered() {
+            TIERED_REGISTRATIONS_PAUSE
+        } else {
+            REGISTRATIONS_PAUSE
+        };
+        gateway.clock.sleep(pause).await;
         if !is_follower(&gateway) {
             log::info!("registrations are taken from peers");
             gateway.follows.store(false, Ordering::Relaxed);
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -60,6 +60,8 @@
     pub seeds: Vec<SocketAddr>,
     /// File descriptors that the process may use.
     pub max_files: usize,
+    /// Part of a processor core that the process may use.
+    pub cpu_share: f64,
     /// Whether runners refuse orders with an old fencing number.
     pub checks_fencing: bool,
     /// Term of the keeper's lease.
@@ -120,6 +122,7 @@
         });
         let positive = [
             ("/max_files", raw.max_files > 0),
+            ("/cpu_share", raw.cpu_share > 0.0),
             ("/lease_ms", raw.lease_ms > 0),
             ("/retry_ratio", raw.retry_ratio >= 0.0),
             ("/grace_s", raw.grace_s > 0.0),
@@ -147,6 +150,7 @@
             store,
             seeds,
             max_files: usize::try_from(raw.max_files).unwrap_or(usize::MAX),
+            cpu_share: raw.cpu_share,
             checks_fencing: raw.checks_fencing,
             lease: Duration::from_millis(raw.lease_ms),
             grace: Duration::from_secs_f64(raw.grace_s),
