Each data centre follows the registrations by itself

Change: beyond 20 instances one instance of each data centre follows, beside the keeper; registrations no longer cross. Tests: parts.rs (one follower is enough there), many_instances.rs still green.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -6,15 +6,25 @@
 
 use crate::id;
 
-/// Instances that follow beside the keeper.
+/// Instances that follow beside the keeper where all are linked with all.
 const FOLLOWERS: usize = 2;
+/// The same in each data centre where these are linked by speakers only, so that
+/// changes do not depend on a speaker.
+const TIERED_FOLLOWERS: usize = 1;
 
-/// Whether the instance `own` follows the store, given the live others that do.
+/// Whether the instance `own` follows the store, given the live others that do
+/// and that it hears from directly.
 #[must_use]
 pub fn is_follower<'a>(
     own: &str,
     is_keeper: bool,
+    is_tiered: bool,
     followers: impl Iterator<Item = &'a id::Instance>,
 ) -> bool {
-    is_keeper || followers.filter(|name| name.as_str() < own).count() < FOLLOWERS
+    let enough = if is_tiered {
+        TIERED_FOLLOWERS
+    } else {
+        FOLLOWERS
+    };
+    is_keeper || followers.filter(|name| name.as_str() < own).count() < enough
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -233,13 +233,15 @@
         inner.values().filter_map(|member| member.lease).max()
     }
 
-    /// Live instances that follow the store.
+    /// Live instances that follow the store and that this one hears from directly.
     #[must_use]
     pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
         let inner = self.inner.lock();
         let silence = self.silence(&inner);
+        let is_tiered = topology::is_tiered(inner.len() + 1);
         let following = inner
             .iter()
+            .filter(|(_, member)| !is_tiered || member.data_centre == self.data_centre)
             .filter(|(_, member)| member.is_live(now, silence(member)) && member.follows);
         following.map(|(instance, _)| instance.clone()).collect()
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -128,11 +128,13 @@
     ended
 }
 
-// Instances that follow the store need no registrations.
+// Each data centre follows the registrations by itself, and instances that follow
+// the store need none.
 fn is_due(gateway: &Gateway, gossip: &Gossip, peer: &mesh::Hello) -> bool {
+    let relation = gateway.relation(peer);
     let is_known = matches!(gossip.message, Message::Registry(_))
-        && gateway.members.is_follower(&peer.instance);
-    !is_known && gossip.is_for(gateway.relation(peer))
+        && (relation != Relation::Near || gateway.members.is_follower(&peer.instance));
+    !is_known && gossip.is_for(relation)
 }
 
 async fn connect(address: SocketAddr) -> Result<(Writer, Reader)> {
@@ -330,9 +332,6 @@
             spread(gateway, peer, Message::Held(held));
         }
         Message::Registry(registry) => {
-            if registry.after.is_some() {
-                spread(gateway, peer, Message::Registry(registry.clone()));
-            }
             let now = gateway.now();
             let (revision, known) = (registry.revision, gateway.roster.newest());
             let is_taken = gateway.roster.merge(registry, now);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -101,7 +101,9 @@
 fn is_follower(gateway: &Gateway) -> bool {
     let followers = gateway.members.followers(gateway.now());
     let is_keeper = gateway.tenure().is_some();
-    follower::is_follower(&gateway.settings.instance, is_keeper, followers.iter())
+    let is_tiered = gateway.is_tiered();
+    let own = &gateway.settings.instance;
+    follower::is_follower(own, is_keeper, is_tiered, followers.iter())
 }
 
 async fn read_registrations(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -87,9 +87,32 @@
             .collect::<Vec<_>>()
     };
     let both = followers(&["a", "b"]);
-    assert!(follower::is_follower("a", false, followers(&["b"]).iter()));
-    assert!(!follower::is_follower("c", false, both.iter()));
-    assert!(follower::is_follower("c", true, both.iter()));
+    assert!(follower::is_follower(
+        "a",
+        false,
+        false,
+        followers(&["b"]).iter()
+    ));
+    assert!(!follower::is_follower("c", false, false, both.iter()));
+    assert!(follower::is_follower("c", true, false, both.iter()));
     // One of the first two cannot read the store, so the third takes its place.
-    assert!(follower::is_follower("c", false, followers(&["b"]).iter()));
+    assert!(follower::is_follower(
+        "c",
+        false,
+        false,
+        followers(&["b"]).iter()
+    ));
+    // One a data centre is enough where data centres follow by themselves.
+    assert!(!follower::is_follower(
+        "c",
+        false,
+        true,
+        followers(&["b"]).iter()
+    ));
+    assert!(follower::is_follower(
+        "a",
+        false,
+        true,
+        followers(&["b"]).iter()
+    ));
 }
