Wards as a type of their own

Change: wards.rs holds the map and what is asked of it; the next step for an adapter is a function of a ward. No behaviour. Measured: tests of the gateway and the platform, linter.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -88,6 +88,7 @@
 mod server;
 mod tcp;
 mod tenure;
+mod wards;
 mod watcher;
 
 pub use error::{Category, Error, Result};
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -307,6 +307,14 @@
         (replicas, has_copy)
     }
 
+    /// Whether new work may be sent to the runner.
+    #[must_use]
+    pub fn is_usable(&self, runner: &str, now: Duration) -> bool {
+        let inner = self.inner.lock();
+        let runner = inner.runners.get(runner);
+        runner.is_some_and(|runner| runner.is_usable(now))
+    }
+
     /// Whether new work may be sent to any runner of `service`.
     #[must_use]
     pub fn has_usable(&self, service: &str, now: Duration) -> bool {
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -13,7 +13,6 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::book::{Book, Work};
 use crate::gateway::Gateway;
 use crate::gossip::{Gossip, Origin};
 use crate::metrics::Metrics;
@@ -22,6 +21,7 @@
 use crate::roster::Roster;
 use crate::service::Engine;
 use crate::ward::Ward;
+use crate::wards::Wards;
 use crate::{Category, id, store_load};
 
 /// Times that an order without an answer is given again.
@@ -53,7 +53,7 @@
     gossip: broadcast::Sender<Arc<Gossip>>,
     /// End of the term, and version of the lease row that was written last.
     term: Mutex<(Duration, u64)>,
-    wards: Mutex<BTreeMap<id::Runner, Ward>>,
+    wards: Wards,
     store_loads: Mutex<store_load::Loads>,
     /// Adapters that a runner holds at most, by service.
     adapter_slots: Mutex<BTreeMap<id::Service, usize>>,
@@ -73,7 +73,7 @@
             roster: Arc::clone(&gateway.roster),
             gossip: gateway.gossip.clone(),
             term: Mutex::new((lease.valid_until(), lease.version())),
-            wards: Mutex::default(),
+            wards: Wards::default(),
             store_loads: Mutex::new(store_load::Loads::new(
                 gateway.settings.load,
                 lease.fencing() > 1,
@@ -110,12 +110,12 @@
         self.adapter_slots
             .lock()
             .insert(service.to_owned(), engine.adapter_slots);
-        self.observe(gateway, service, now);
+        self.wards.observe(gateway, service, now);
         self.check_doubtful(service, engine, gateway.follows(), now);
         self.settle_store_loads(service, engine, now);
         let view = planner::View {
             engine,
-            runners: self.views(&gateway.book, gateway, service, now),
+            runners: self.wards.views(gateway, service, now),
             interests: gateway.interests.of(service, now),
             token_times: gateway.speed.tokens(engine.models.keys()),
             store_loads: self.store_loads.lock().left(engine.loads_per_second, now),
@@ -125,67 +125,20 @@
         }
     }
 
-    fn observe(&self, gateway: &Gateway, service: &str, now: Duration) {
-        let mut wards = self.wards.lock();
-        for runner in gateway.roster.usable(service, now) {
-            let registration = &runner.registration;
-            if let Some(ward) = wards.get_mut(runner.id()) {
-                ward.observe(registration, runner.address, now);
-            } else {
-                let ward = Ward::new(registration, runner.address, now);
-                wards.insert(runner.id().clone(), ward);
-            }
-        }
-        let is_usable = |runner: &str| {
-            let runner = gateway.roster.get(runner);
-            runner.is_some_and(|runner| runner.is_usable(now))
-        };
-        wards.retain(|runner, _| is_usable(runner));
-    }
-
-    fn views(
-        &self,
-        book: &Book,
-        gateway: &Gateway,
-        service: &str,
-        now: Duration,
-    ) -> BTreeMap<id::Runner, planner::Runner> {
-        let mut work: BTreeMap<id::Runner, Vec<(id::Model, Work)>> = BTreeMap::new();
-        for ((runner, model), of_model) in book.by_model(now) {
-            work.entry(runner).or_default().push((model, of_model));
-        }
-        let wards = self.wards.lock();
-        gateway
-            .roster
-            .usable(service, now)
-            .iter()
-            .filter(|runner| !gateway.health.is_ejected(runner.id(), now))
-            .filter_map(|runner| {
-                let ward = wards.get(runner.id())?;
-                let work = work.remove(runner.id()).unwrap_or_default();
-                let pending_tokens = work.iter().map(|(_, work)| work.pending_tokens).sum();
-                let requests = work
-                    .into_iter()
-                    .map(|(model, work)| (model, work.requests()))
-                    .collect();
-                let view = ward.view(requests, pending_tokens, now);
-                Some((runner.id().clone(), view))
-            })
-            .collect()
-    }
-
     // Learns which loads from the store have ended at the runners of `service`,
     // or with their runner.
     fn settle_store_loads(&self, service: &str, engine: &Engine, now: Duration) {
-        let wards = self.wards.lock();
         let mut loads = self.store_loads.lock();
         for runner in loads.running() {
-            match wards.get(&runner) {
-                Some(ward) if ward.service != service || ward.is_busy() => {}
-                Some(_) => {
+            let ward = self
+                .wards
+                .read(&runner, |ward| (ward.service == service, ward.is_busy()));
+            match ward {
+                Some((true, false)) => {
                     let nominal = engine.models.values().map(|model| model.store_load).max();
                     loads.end(&runner, nominal, now);
                 }
+                Some(_) => {}
                 None => loads.end(&runner, None, now),
             }
         }
@@ -202,20 +155,7 @@
     ) {
         let longest = engine.models.values().map(|model| model.store_load).max();
         let limit = longest.unwrap_or_default() + OVERDUE_SLACK;
-        let overdue: Vec<_> = self
-            .wards
-            .lock()
-            .iter()
-            .filter(|(_, ward)| ward.service == service)
-            .filter(|(_, ward)| {
-                ward.sequence.is_none()
-                    || ward.is_doubtful
-                    || ward.is_overdue(limit, now)
-                    || (!store_answers && ward.is_in_order())
-            })
-            .filter(|(_, ward)| now >= ward.blocked_until && ward.turn.try_lock().is_ok())
-            .map(|(runner, _)| runner.clone())
-            .collect();
+        let overdue = self.wards.doubtful(service, limit, store_answers, now);
         for runner in overdue {
             self.block(&runner, REPORT_LAG);
             let tenure = Arc::clone(self);
@@ -246,13 +186,12 @@
                     successor = successor.as_str();
                     "unload decided"
                 );
-                if let Some(ward) = self.wards.lock().get_mut(&runner) {
-                    ward.reserve(&successor, now);
-                }
+                self.wards
+                    .change(&runner, |ward| ward.reserve(&successor, now));
                 (runner, Action::Unload, model)
             }
         };
-        let Some(turn) = self.turn(&runner) else {
+        let Some(turn) = self.wards.turn(&runner) else {
             return;
         };
         // Taken before the task starts, so that the next plan sees it.
@@ -266,20 +205,15 @@
         });
     }
 
-    fn turn(&self, runner: &str) -> Option<Arc<tokio::sync::Mutex<()>>> {
-        let wards = self.wards.lock();
-        wards.get(runner).map(|ward| Arc::clone(&ward.turn))
-    }
-
     /// Makes the runner hold the adapter; returns whether it does.
     pub(crate) async fn ensure_adapter(&self, runner: &str, model: &str, adapter: &str) -> bool {
-        let Some(turn) = self.turn(runner) else {
+        let Some(turn) = self.wards.turn(runner) else {
             return false;
         };
         let Ok(_guard) = time::timeout(MAX_TURN_WAIT, turn.lock()).await else {
             return false;
         };
-        if !self.knows_sequence(runner) {
+        if self.wards.draft(runner).is_none() {
             self.refresh(runner).await;
         }
         for _ in 0..MAX_ADAPTER_STEPS {
@@ -304,32 +238,11 @@
 
     fn next_adapter_step(&self, runner: &str, model: &str, adapter: &str) -> Step {
         let now = self.clock.now();
-        let mut wards = self.wards.lock();
-        let Some(ward) = wards.get_mut(runner) else {
-            return Step::Impossible;
-        };
-        // Runners refuse adapter orders while a model order is in progress.
-        if !ward.holds_model(model) || ward.is_in_order() || now < ward.blocked_until {
-            return Step::Impossible;
-        }
-        ward.use_adapter(model, adapter, now);
-        if ward.holds_adapter(model, adapter) {
-            return Step::Done;
-        }
-        if ward.is_leaving(model, adapter) {
-            return Step::Wait;
-        }
-        let slots = self.adapter_slots.lock().get(&ward.service).copied();
-        if ward.adapters() < slots.unwrap_or_default() {
-            return Step::Load;
-        }
-        if ward.has_leaving() {
-            return Step::Wait;
-        }
-        match ward.oldest_adapter() {
-            Some((model, adapter)) => Step::MakeRoom(model, adapter),
-            None => Step::Impossible,
-        }
+        let step = self.wards.change(runner, |ward| {
+            let slots = self.adapter_slots.lock().get(&ward.service).copied();
+            adapter_step(ward, model, adapter, slots.unwrap_or_default(), now)
+        });
+        step.unwrap_or(Step::Impossible)
     }
 
     /// Gives an order until its outcome is known; returns whether it holds.
@@ -368,9 +281,9 @@
                 }
                 Ok(Receipt::Conflict) => {
                     self.clock.sleep(REPORT_LAG).await;
-                    self.forget_sequence(runner);
+                    self.wards.change(runner, |ward| ward.sequence = None);
                     self.refresh(runner).await;
-                    return self.holds(runner, action, model, adapter);
+                    return self.wards.holds(runner, action, model, adapter);
                 }
                 Ok(Receipt::OtherRunner | Receipt::Rejected) => return false,
                 Err(error) if error.category() == Category::NotSent => {
@@ -389,23 +302,7 @@
     }
 
     fn block(&self, runner: &str, time: Duration) {
-        let until = self.clock.now() + time;
-        if let Some(ward) = self.wards.lock().get_mut(runner) {
-            ward.blocked_until = until;
-        }
-    }
-
-    fn knows_sequence(&self, runner: &str) -> bool {
-        let wards = self.wards.lock();
-        wards
-            .get(runner)
-            .is_some_and(|ward| ward.sequence.is_some())
-    }
-
-    fn forget_sequence(&self, runner: &str) {
-        if let Some(ward) = self.wards.lock().get_mut(runner) {
-            ward.sequence = None;
-        }
+        self.wards.block(runner, self.clock.now() + time);
     }
 
     fn draft(
@@ -415,42 +312,28 @@
         model: &str,
         adapter: Option<&str>,
     ) -> Option<(std::net::SocketAddr, Order)> {
-        let wards = self.wards.lock();
-        let ward = wards.get(runner)?;
+        let draft = self.wards.draft(runner)?;
         let order = Order {
             runner: runner.to_owned(),
             action,
             model: model.to_owned(),
             adapter: adapter.map(str::to_owned),
-            sequence: ward.sequence?,
+            sequence: draft.sequence,
             holder: self.holder.clone(),
             fencing: self.fencing,
         };
-        Some((ward.address, order))
+        Some((draft.address, order))
     }
 
-    fn update(&self, order: &Order, change: impl Fn(&mut Ward, &Order, Duration)) {
+    fn update(&self, order: &Order, change: impl FnOnce(&mut Ward, &Order, Duration)) {
         let now = self.clock.now();
-        if let Some(ward) = self.wards.lock().get_mut(&order.runner) {
-            change(ward, order, now);
-        }
-    }
-
-    fn holds(&self, runner: &str, action: Action, model: &str, adapter: Option<&str>) -> bool {
-        let wards = self.wards.lock();
-        let Some(ward) = wards.get(runner) else {
-            return false;
-        };
-        let is_held = match adapter {
-            Some(adapter) => ward.holds_adapter(model, adapter),
-            None => ward.holds_model(model),
-        };
-        is_held == (action == Action::Load)
+        self.wards
+            .update(order, |ward, order| change(ward, order, now));
     }
 
     /// Asks the runner what it holds and how many orders it has accepted.
     async fn refresh(&self, runner: &str) {
-        let address = self.wards.lock().get(runner).map(|ward| ward.address);
+        let address = self.wards.read(runner, |ward| ward.address);
         let Some(address) = address else { return };
         let reported = self.orders.report(address, runner).await;
         let now = self.clock.now();
@@ -461,19 +344,7 @@
                     models = report.models.len();
                     "runner reported"
                 );
-                let is_settled = match self.wards.lock().get_mut(runner) {
-                    Some(ward) => {
-                        ward.report(&report, now);
-                        !ward.is_in_order() && ward.sequence == Some(report.sequence)
-                    }
-                    None => false,
-                };
-                if is_settled {
-                    let held = mesh::Held {
-                        runner: runner.to_owned(),
-                        born_ms: report.born_ms,
-                        models: report.models,
-                    };
+                if let Some(held) = self.wards.report(runner, report, now) {
                     self.roster.hold(held.clone());
                     let gossip = Gossip {
                         message: mesh::Message::Held(held),
@@ -502,6 +373,31 @@
     }
 }
 
+// The next order that brings the adapter to the runner.
+fn adapter_step(ward: &mut Ward, model: &str, adapter: &str, slots: usize, now: Duration) -> Step {
+    // Runners refuse adapter orders while a model order is in progress.
+    if !ward.holds_model(model) || ward.is_in_order() || now < ward.blocked_until {
+        return Step::Impossible;
+    }
+    ward.use_adapter(model, adapter, now);
+    if ward.holds_adapter(model, adapter) {
+        return Step::Done;
+    }
+    if ward.is_leaving(model, adapter) {
+        return Step::Wait;
+    }
+    if ward.adapters() < slots {
+        return Step::Load;
+    }
+    if ward.has_leaving() {
+        return Step::Wait;
+    }
+    match ward.oldest_adapter() {
+        Some((model, adapter)) => Step::MakeRoom(model, adapter),
+        None => Step::Impossible,
+    }
+}
+
 /// What is next to do for an adapter.
 enum Step {
     Done,
