Every instance follows the environment where they are few

Change: up to 20 instances each follows the environment, three and the keeper the registrations; beyond, three of a data centre follow the environment. Tests: parts.rs; environment.rs plays the silence, but is green with the old rule too, so that it does not prove this.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -7,13 +7,16 @@
 use crate::id;
 
 /// Instances that follow beside the keeper where all are linked with all.
-const FOLLOWERS: usize = 2;
+const FOLLOWERS: usize = 3;
 /// The same in each data centre where these are linked by speakers only, so that
 /// changes do not depend on a speaker.
 const TIERED_FOLLOWERS: usize = 1;
+/// Instances of a data centre that follow the environment there; where all are
+/// linked with all, each follows it.
+const ENVIRONMENT_FOLLOWERS: usize = 3;
 
 /// Whether the instance `own` follows the store, given the live others that do
-/// and that it hears from directly.
+/// beside the keeper and that it hears from directly.
 #[must_use]
 pub fn is_follower<'a>(
     own: &str,
@@ -28,3 +31,14 @@
     };
     is_keeper || followers.filter(|name| name.as_str() < own).count() < enough
 }
+
+/// The same for the environment, which changes rarely, given the live others of
+/// the data centre.
+#[must_use]
+pub fn follows_environment<'a>(
+    own: &str,
+    is_tiered: bool,
+    live: impl Iterator<Item = &'a id::Instance>,
+) -> bool {
+    !is_tiered || live.filter(|name| name.as_str() < own).count() < ENVIRONMENT_FOLLOWERS
+}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -127,6 +127,13 @@
             .collect()
     }
 
+    /// Live instances of this data centre.
+    #[must_use]
+    pub fn near(&self, now: Duration) -> Vec<id::Instance> {
+        let reports = self.reports(now).into_iter();
+        reports.map(|report| report.hello.instance).collect()
+    }
+
     /// Whether the instance is in this data centre.
     #[must_use]
     pub fn is_near(&self, instance: &str) -> bool {
@@ -233,7 +240,8 @@
         inner.values().filter_map(|member| member.lease).max()
     }
 
-    /// Live instances that follow the store and that this one hears from directly.
+    /// Live instances that follow the store beside the keeper and that this one
+    /// hears from directly.
     #[must_use]
     pub fn followers(&self, now: Duration) -> Vec<id::Instance> {
         let inner = self.inner.lock();
@@ -242,7 +250,8 @@
         let following = inner
             .iter()
             .filter(|(_, member)| !is_tiered || member.data_centre == self.data_centre)
-            .filter(|(_, member)| member.is_live(now, silence(member)) && member.follows);
+            .filter(|(_, member)| member.is_live(now, silence(member)))
+            .filter(|(_, member)| member.follows && member.keeper == 0);
         following.map(|(instance, _)| instance.clone()).collect()
     }
 
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -38,10 +38,10 @@
         if !watch.settle(&gateway, result).await {
             return;
         }
-        if gateway.is_tiered() && !is_follower(&gateway) {
+        if gateway.is_tiered() && !follows_environment(&gateway) {
             gateway.clock.sleep(ENVIRONMENT_PAUSE).await;
         }
-        while !watch.is_lost && !is_follower(&gateway) && !is_behind(&gateway) {
+        while !watch.is_lost && !follows_environment(&gateway) && !is_behind(&gateway) {
             watch.revision = None;
             tokio::select! {
                 () = gateway.stopped.cancelled() => return,
@@ -106,6 +106,12 @@
     follower::is_follower(own, is_keeper, is_tiered, followers.iter())
 }
 
+fn follows_environment(gateway: &Gateway) -> bool {
+    let live = gateway.members.near(gateway.now());
+    let own = &gateway.settings.instance;
+    follower::follows_environment(own, gateway.is_tiered(), live.iter())
+}
+
 async fn read_registrations(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
     let registrations = &gateway.ports.registrations;
     let Some(revision) = revision else {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -79,40 +79,25 @@
 }
 
 #[test]
-fn the_first_two_and_the_keeper_follow() {
-    let followers = |names: &[&str]| {
-        names
-            .iter()
-            .map(|name| (*name).to_owned())
-            .collect::<Vec<_>>()
+fn the_first_three_and_the_keeper_follow() {
+    let follows = |own: &str, is_keeper: bool, is_tiered: bool, others: &[&str]| {
+        let others: Vec<_> = others.iter().map(|name| (*name).to_owned()).collect();
+        follower::is_follower(own, is_keeper, is_tiered, others.iter())
     };
-    let both = followers(&["a", "b"]);
-    assert!(follower::is_follower(
-        "a",
-        false,
-        false,
-        followers(&["b"]).iter()
-    ));
-    assert!(!follower::is_follower("c", false, false, both.iter()));
-    assert!(follower::is_follower("c", true, false, both.iter()));
-    // One of the first two cannot read the store, so the third takes its place.
-    assert!(follower::is_follower(
-        "c",
-        false,
-        false,
-        followers(&["b"]).iter()
-    ));
+    assert!(follows("a", false, false, &["b", "c"]));
+    assert!(!follows("d", false, false, &["a", "b", "c"]));
+    assert!(follows("d", true, false, &["a", "b", "c"]));
+    // One of the first three cannot read the store, so the fourth takes its place.
+    assert!(follows("d", false, false, &["b", "c"]));
     // One a data centre is enough where data centres follow by themselves.
-    assert!(!follower::is_follower(
-        "c",
-        false,
-        true,
-        followers(&["b"]).iter()
-    ));
-    assert!(follower::is_follower(
-        "a",
-        false,
-        true,
-        followers(&["b"]).iter()
-    ));
+    assert!(!follows("c", false, true, &["b"]));
+    assert!(follows("a", false, true, &["b"]));
+}
+
+#[test]
+fn all_follow_the_environment_where_they_are_few() {
+    let others: Vec<_> = ["a", "b", "c", "d"].map(str::to_owned).into();
+    assert!(follower::follows_environment("e", false, others.iter()));
+    assert!(!follower::follows_environment("e", true, others.iter()));
+    assert!(follower::follows_environment("c", true, others.iter()));
 }
