--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -32,13 +32,9 @@
     is_keeper || followers.filter(|name| name.as_str() < own).count() < enough
 }
 
-/// The same for the environment, which changes rarely, given the live others of
-/// the data centre.
+/// The same for the environment, which changes rarely, where data centres are
+/// linked by speakers; `live` are the live others of the data centre.
 #[must_use]
-pub fn follows_environment<'a>(
-    own: &str,
-    is_tiered: bool,
-    live: impl Iterator<Item = &'a id::Instance>,
-) -> bool {
-    !is_tiered || live.filter(|name| name.as_str() < own).count() < ENVIRONMENT_FOLLOWERS
+pub fn follows_environment<'a>(own: &str, live: impl Iterator<Item = &'a id::Instance>) -> bool {
+    live.filter(|name| name.as_str() < own).count() < ENVIRONMENT_FOLLOWERS
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -130,8 +130,14 @@
     /// Live instances of this data centre.
     #[must_use]
     pub fn near(&self, now: Duration) -> Vec<id::Instance> {
-        let reports = self.reports(now).into_iter();
-        reports.map(|report| report.hello.instance).collect()
+        let inner = self.inner.lock();
+        let silence = self.silence(&inner);
+        inner
+            .iter()
+            .filter(|(_, member)| member.data_centre == self.data_centre)
+            .filter(|(_, member)| member.is_live(now, silence(member)))
+            .map(|(instance, _)| instance.clone())
+            .collect()
     }
 
     /// Whether the instance is in this data centre.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -52,7 +52,9 @@
         }
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
-            _ = unwanted.wait_for(|topology| !topology.wants(address)) => {}
+            _ = unwanted.wait_for(|topology| !topology.wants(address)) => {
+                log::info!(address:% = address; "link no longer kept");
+            }
             ended = link(&gateway, &reports, address, &mut backoff) => {
                 if let Err(error) = ended {
                     log::debug!(peer:% = address, error:% = error; "link ended");
@@ -236,7 +238,7 @@
 fn hear(gateway: &Gateway, peer: &mesh::Hello, status: &mesh::Status) {
     let now = gateway.now();
     gateway.members.hear(&report::of(peer, status), now);
-    if gateway.is_near_data_centre(&peer.data_centre) {
+    if gateway.is_tiered() && gateway.is_near_data_centre(&peer.data_centre) {
         gateway.collector.add(&peer.instance, status);
     }
     gateway.interests.add(&peer.instance, &status.demands, now);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -58,7 +58,9 @@
 fn count_own(gateway: &Gateway, status: &mesh::Status, now: Duration) {
     let instance = &gateway.settings.instance;
     gateway.interests.add(instance, &status.demands, now);
-    gateway.collector.add(instance, status);
+    if gateway.is_tiered() {
+        gateway.collector.add(instance, status);
+    }
 }
 
 fn tell_keeper(gateway: &Gateway) {
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -38,7 +38,7 @@
         if !watch.settle(&gateway, result).await {
             return;
         }
-        if gateway.is_tiered() && !follows_environment(&gateway) {
+        if !follows_environment(&gateway) {
             gateway.clock.sleep(ENVIRONMENT_PAUSE).await;
         }
         while !watch.is_lost && !follows_environment(&gateway) && !is_behind(&gateway) {
@@ -107,9 +107,11 @@
 }
 
 fn follows_environment(gateway: &Gateway) -> bool {
+    if !gateway.is_tiered() {
+        return true;
+    }
     let live = gateway.members.near(gateway.now());
-    let own = &gateway.settings.instance;
-    follower::follows_environment(own, gateway.is_tiered(), live.iter())
+    follower::follows_environment(&gateway.settings.instance, live.iter())
 }
 
 async fn read_registrations(gateway: &Gateway, revision: Option<u64>) -> Result<u64> {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -95,9 +95,9 @@
 }
 
 #[test]
-fn all_follow_the_environment_where_they_are_few() {
+fn the_first_three_of_a_data_centre_follow_the_environment() {
     let others: Vec<_> = ["a", "b", "c", "d"].map(str::to_owned).into();
-    assert!(follower::follows_environment("e", false, others.iter()));
-    assert!(!follower::follows_environment("e", true, others.iter()));
-    assert!(follower::follows_environment("c", true, others.iter()));
+    assert!(!follower::follows_environment("e", others.iter()));
+    assert!(!follower::follows_environment("d", others.iter()));
+    assert!(follower::follows_environment("c", others.iter()));
 }
