--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -14,6 +14,7 @@
 
 use crate::error::Code;
 use crate::fanout::{Envelope, Origin, Relation};
+use crate::forward::millis;
 use crate::gateway::Gateway;
 use crate::links::Link;
 use crate::report::Reports;
@@ -234,7 +235,7 @@
                     environment: status.environment,
                     registry: status.registry,
                 };
-                if let Some(fetch) = fetch_if_behind(gateway, versions, &mut behind) {
+                if let Some(fetch) = fetch_if_behind(gateway, &peer, versions, &mut behind) {
                     writer.send(&fetch).await?;
                 }
             }
@@ -242,7 +243,7 @@
                 let versions = apply_summary(gateway, reports, &summary);
                 if gateway.is_hierarchical() && !gateway.is_local_data_centre(&peer.data_centre) {
                     gateway.broadcast(Message::Summary(summary), Origin::Remote);
-                    if let Some(fetch) = fetch_if_behind(gateway, versions, &mut behind) {
+                    if let Some(fetch) = fetch_if_behind(gateway, &peer, versions, &mut behind) {
                         writer.send(&fetch).await?;
                     }
                 }
@@ -317,6 +318,7 @@
 // delay avoids fetches of data that the store's feed is about to deliver.
 fn fetch_if_behind(
     gateway: &Gateway,
+    peer: &mesh::Hello,
     versions: Versions,
     behind: &mut Option<(Duration, Versions)>,
 ) -> Option<Message> {
@@ -339,22 +341,24 @@
     let (since, _) = *behind.get_or_insert((now, versions));
     let is_new = fetch.environment == 0 || fetch.registry == 0;
     let is_overdue = is_new || now.saturating_sub(since) >= FETCH_DELAY;
-    is_overdue.then_some(Message::Fetch(fetch))
+    if !is_overdue {
+        return None;
+    }
+    gateway.metrics.fetch();
+    log::info!(
+        peer = peer.instance.as_str(), environment = fetch.environment,
+        newest_environment = versions.environment, registry = fetch.registry,
+        newest_registry = versions.registry, behind_ms = millis(now.saturating_sub(since));
+        "newer versions requested from a peer"
+    );
+    Some(Message::Fetch(fetch))
 }
 
 // Handles fetches, and environments, models and registrations that a peer sends.
 fn handle(gateway: &Arc<Gateway>, peer: &mesh::Hello, message: Message) {
     match message {
         Message::Fetch(fetch) => handle_fetch(gateway, peer, &fetch),
-        Message::Environment(environment) => {
-            match gateway.ports.documents.decode(&environment.text) {
-                Ok(document) => gateway.install(document, &peer.instance),
-                Err(error) => log::warn!(
-                    peer = peer.instance.as_str(), error:% = error;
-                    "environment from a peer is malformed"
-                ),
-            }
-        }
+        Message::Environment(environment) => install_from_peer(gateway, peer, &environment),
         Message::Held(held) => {
             gateway.registry.apply_held(held.clone());
             rebroadcast(gateway, peer, Message::Held(held));
@@ -375,6 +379,26 @@
     }
 }
 
+fn install_from_peer(gateway: &Gateway, peer: &mesh::Hello, environment: &mesh::Environment) {
+    let is_newer = environment.version > *gateway.version.borrow();
+    gateway.metrics.environment_received(is_newer);
+    if !is_newer {
+        log::debug!(
+            peer = peer.instance.as_str(), version = environment.version,
+            bytes = environment.text.len();
+            "environment from a peer is not newer"
+        );
+        return;
+    }
+    match gateway.ports.documents.decode(&environment.text) {
+        Ok(document) => gateway.install(document, &peer.instance),
+        Err(error) => log::warn!(
+            peer = peer.instance.as_str(), error:% = error;
+            "environment from a peer is malformed"
+        ),
+    }
+}
+
 // Forwards a peer's message to the instances that it has no link to.
 fn rebroadcast(gateway: &Gateway, peer: &mesh::Hello, message: Message) {
     if !gateway.is_hierarchical() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     orders: Counter<u64>,
     connections: Counter<u64>,
     links: Counter<u64>,
+    fetches: Counter<u64>,
+    environments: Counter<u64>,
     latency: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
@@ -59,6 +61,14 @@
             ),
             connections: counter("almondbank_connections", "Connections made to runners."),
             links: counter("almondbank_links", "Links opened to other instances."),
+            fetches: counter(
+                "almondbank_fetches",
+                "Requests to other instances for newer versions.",
+            ),
+            environments: counter(
+                "almondbank_environments_received",
+                "Environments received from other instances, by whether they were newer.",
+            ),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -106,6 +116,17 @@
         self.links.add(1, &[]);
     }
 
+    /// Counts a request to another instance for newer versions.
+    pub fn fetch(&self) {
+        self.fetches.add(1, &[]);
+    }
+
+    /// Counts an environment that another instance sent.
+    pub fn environment_received(&self, is_newer: bool) {
+        self.environments
+            .add(1, &[KeyValue::new("newer", is_newer)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn page(&self) -> String {
