One request for newer versions at a time, whichever peers report them

What callers saw: a route that had been added was refused with 404, seconds after its version had been acknowledged (CONFIG), on a deployment of 79 instances, most with links of 10 Mbit/s. Cause: an instance that is behind requested document and registrations from every peer, again with each report, until one answer had come through. The answers fill a small link, so that the store's responses and the next versions are late too; the state outlasts the outage that began it. Ruled out: silent followers (others beside them were in time), hanging connections (new ones as slow). Change: fetch::Pacer, one outstanding request an instance, given up after 0.5 s, then later. It works since the answers in flight no longer grow with the peers: one copy a version, and a full link drains between two requests.

--- /dev/null
+++ b/crates/gateway/src/fetch.rs
@@ -0,0 +1,103 @@
+//! Decides when to request newer versions from a peer.
+//!
+//! All peers report a newer version at about the same time, and each answer carries a
+//! whole document. Answers to several requests at once would delay each other, and the
+//! store's responses too, on a slow link. One request is therefore outstanding at a time.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+/// Time for which a peer must have had newer versions before they are requested, since
+/// the store's feed is probably about to deliver them.
+const DELAY: Duration = Duration::from_millis(200);
+/// Time after which a request is given up, so that another peer is asked. It doubles
+/// with each request without an answer, so that a full link can drain.
+const TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Newest versions that an instance has, or that it knows of.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Versions {
+    /// Version of the environment.
+    pub environment: u64,
+    /// Revision of the newest registration.
+    pub registry: u64,
+}
+
+impl Versions {
+    /// Whether either version is newer than in `known`.
+    #[must_use]
+    pub fn is_newer_than(self, known: Self) -> bool {
+        self.environment > known.environment || self.registry > known.registry
+    }
+
+    fn is_incomplete(self) -> bool {
+        self.environment == 0 || self.registry == 0
+    }
+}
+
+/// The request that is outstanding, if any, and how long this instance is behind.
+#[derive(Debug, Default)]
+pub struct Pacer {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Versions that are missing, and since when.
+    behind: Option<(Versions, Duration)>,
+    outstanding: Option<Outstanding>,
+    /// Number of requests in a row without an answer.
+    unanswered: u32,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    versions: Versions,
+    until: Duration,
+}
+
+impl Pacer {
+    /// Returns for how long this instance, which has `known`, is behind, if it is to
+    /// request the versions that a peer `reported`. The request then counts as sent.
+    pub fn start(&self, known: Versions, reported: Versions, now: Duration) -> Option<Duration> {
+        let mut inner = self.inner.lock();
+        inner.record_answer(known, now);
+        if !reported.is_newer_than(known) {
+            return None;
+        }
+        let (_, since) = *inner.behind.get_or_insert((reported, now));
+        let behind = now.saturating_sub(since);
+        // An instance that has just started has nothing to wait for.
+        let is_due = known.is_incomplete() || behind >= DELAY;
+        if !is_due || inner.outstanding.is_some() {
+            return None;
+        }
+        let timeout = TIMEOUT.saturating_mul(1 << inner.unanswered.min(4));
+        inner.outstanding = Some(Outstanding {
+            versions: reported,
+            until: now + timeout.min(MAX_TIMEOUT),
+        });
+        Some(behind)
+    }
+}
+
+impl Inner {
+    fn record_answer(&mut self, known: Versions, now: Duration) {
+        // With frequent changes some newer version is always missing, so the delay
+        // restarts once the versions that were missing at its start have arrived.
+        self.behind
+            .take_if(|(missing, _)| !missing.is_newer_than(known));
+        let Some(outstanding) = &self.outstanding else {
+            return;
+        };
+        if !outstanding.versions.is_newer_than(known) {
+            self.outstanding = None;
+            self.unanswered = 0;
+        } else if now >= outstanding.until {
+            self.outstanding = None;
+            self.unanswered += 1;
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::summary::Collector;
 use crate::term::Term;
 use crate::topology::Topology;
-use crate::{Result, id};
+use crate::{Result, fetch, id};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -76,6 +76,8 @@
     pub(crate) version: watch::Sender<u64>,
     /// Newest version of the environment that a peer reported.
     pub(crate) announced: watch::Sender<u64>,
+    /// Paces the requests for newer versions to the peers.
+    pub(crate) fetches: fetch::Pacer,
     pub(crate) registry: Arc<Registry>,
     pub(crate) in_flight: Arc<Tracker>,
     pub(crate) prefixes: Index,
@@ -125,6 +127,7 @@
             document: RwLock::default(),
             version: watch::Sender::new(0),
             announced: watch::Sender::new(0),
+            fetches: fetch::Pacer::default(),
             registry: Arc::new(Registry::new(settings.reconcile_window)),
             in_flight: Arc::default(),
             prefixes: Index::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod environment;
 pub mod event_gap;
 pub mod feed;
+pub mod fetch;
 pub mod follower;
 pub mod health;
 pub mod id;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -14,6 +14,7 @@
 
 use crate::error::Code;
 use crate::fanout::{Envelope, Origin, Relation};
+use crate::fetch::Versions;
 use crate::forward::millis;
 use crate::gateway::Gateway;
 use crate::links::Link;
@@ -32,9 +33,6 @@
 const RECONNECT_MAX: Duration = Duration::from_secs(2);
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(1200);
 const REPLY_QUEUE: usize = 64;
-/// Time for which a peer must have had newer versions before this instance fetches
-/// them.
-const FETCH_DELAY: Duration = Duration::from_millis(200);
 
 /// Starts a task that maintains a link to `address`, unless one exists.
 pub(crate) fn dial(gateway: &Arc<Gateway>, reports: &Reports, address: SocketAddr) {
@@ -219,7 +217,6 @@
         dial_member(gateway, reports, &peer);
     }
     let (replies, mut queue) = mpsc::channel(REPLY_QUEUE);
-    let mut behind = None;
     loop {
         let message = tokio::select! {
             message = reader.receive::<Message>(REPORT_TIMEOUT) => message?,
@@ -235,7 +232,7 @@
                     environment: status.environment,
                     registry: status.registry,
                 };
-                if let Some(fetch) = fetch_if_behind(gateway, &peer, versions, &mut behind) {
+                if let Some(fetch) = fetch_if_behind(gateway, &peer, versions) {
                     writer.send(&fetch).await?;
                 }
             }
@@ -243,7 +240,7 @@
                 let versions = apply_summary(gateway, reports, &summary);
                 if gateway.is_hierarchical() && !gateway.is_local_data_centre(&peer.data_centre) {
                     gateway.broadcast(Message::Summary(summary), Origin::Remote);
-                    if let Some(fetch) = fetch_if_behind(gateway, &peer, versions, &mut behind) {
+                    if let Some(fetch) = fetch_if_behind(gateway, &peer, versions) {
                         writer.send(&fetch).await?;
                     }
                 }
@@ -271,26 +268,10 @@
     gateway.prefixes.merge(status.kept.clone(), now);
 }
 
-/// Newest versions that a peer or the instances of a data centre report.
-#[derive(Clone, Copy)]
-struct Versions {
-    environment: u64,
-    registry: u64,
-}
-
-impl Versions {
-    fn is_newer_than(&self, known: &mesh::Fetch) -> bool {
-        self.environment > known.environment || self.registry > known.registry
-    }
-}
-
 // Applies the summary of another data centre; returns the newest versions that its
 // instances have.
 fn apply_summary(gateway: &Arc<Gateway>, reports: &Reports, summary: &mesh::Summary) -> Versions {
-    let mut versions = Versions {
-        environment: 0,
-        registry: 0,
-    };
+    let mut versions = Versions::default();
     if gateway.is_local_data_centre(&summary.data_centre) {
         return versions;
     }
@@ -314,44 +295,34 @@
     versions
 }
 
-// Returns a fetch message if the peer has had newer versions for `FETCH_DELAY`. The
-// delay avoids fetches of data that the store's feed is about to deliver.
-fn fetch_if_behind(
-    gateway: &Gateway,
-    peer: &mesh::Hello,
-    versions: Versions,
-    behind: &mut Option<(Duration, Versions)>,
-) -> Option<Message> {
-    let fetch = mesh::Fetch {
+// Returns the request to send to a peer that reports newer versions, if one is due.
+fn fetch_if_behind(gateway: &Gateway, peer: &mesh::Hello, reported: Versions) -> Option<Message> {
+    announce(gateway, reported.environment);
+    let known = Versions {
         environment: *gateway.version.borrow(),
         registry: gateway.registry.newest_revision(),
     };
-    gateway.announced.send_if_modified(|announced| {
-        let is_newer = versions.environment > *announced;
-        *announced = (*announced).max(versions.environment);
-        is_newer
-    });
-    // The delay restarts once the versions that were missing at its start have
-    // arrived, because with frequent changes some newer version is always missing.
-    *behind = behind.filter(|(_, missing)| missing.is_newer_than(&fetch));
-    if !versions.is_newer_than(&fetch) {
-        return None;
-    }
-    let now = gateway.now();
-    let (since, _) = *behind.get_or_insert((now, versions));
-    let is_new = fetch.environment == 0 || fetch.registry == 0;
-    let is_overdue = is_new || now.saturating_sub(since) >= FETCH_DELAY;
-    if !is_overdue {
-        return None;
-    }
+    let behind = gateway.fetches.start(known, reported, gateway.now())?;
     gateway.metrics.fetch();
     log::info!(
-        peer = peer.instance.as_str(), environment = fetch.environment,
-        newest_environment = versions.environment, registry = fetch.registry,
-        newest_registry = versions.registry, behind_ms = millis(now.saturating_sub(since));
+        peer = peer.instance.as_str(), environment = known.environment,
+        newest_environment = reported.environment, registry = known.registry,
+        newest_registry = reported.registry, behind_ms = millis(behind);
         "newer versions requested from a peer"
     );
-    Some(Message::Fetch(fetch))
+    Some(Message::Fetch(mesh::Fetch {
+        environment: known.environment,
+        registry: known.registry,
+    }))
+}
+
+// Wakes the task that reads the environment if the store must have a newer one.
+fn announce(gateway: &Gateway, environment: u64) {
+    gateway.announced.send_if_modified(|announced| {
+        let is_newer = environment > *announced;
+        *announced = (*announced).max(environment);
+        is_newer
+    });
 }
 
 // Handles fetches, and environments, models and registrations that a peer sends.
