Log the shared prompt parts of requests that break before their first event

Ruled out from the logs: retries of the system itself, since the lines of the failed requests say send=1. Change: the lines of a connection or stream that breaks before a response carry the ids of the shared parts (all but the last).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -343,6 +343,7 @@
             Err(Failure::Broken(error)) => {
                 log::info!(
                     request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    parts = exchange.call.shared_parts().join(","),
                     error:% = error, reused = connection.is_reused;
                     "connection to the runner failed before a response"
                 );
@@ -477,6 +478,7 @@
             Err(error) => {
                 log::info!(
                     request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    parts = self.exchange.call.shared_parts().join(","),
                     error:% = error;
                     "stream broke before its first chunk"
                 );
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -76,6 +76,15 @@
             .collect()
     }
 
+    /// Returns the ids of the parts that other requests may share: all but the last, which
+    /// belongs to this request or its session.
+    #[must_use]
+    pub fn shared_parts(&self) -> Vec<&str> {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared = self.parts.iter().take(shared);
+        shared.map(|part| part.id.as_str()).collect()
+    }
+
     /// Returns a hash of the attempt id, for the choice of a service.
     #[must_use]
     pub fn seed(&self) -> u64 {
