Keep requests with a prompt part that crashes runners from the runners

Cause: one prompt part crashes each runner that begins to respond to it, and nothing related crashes to parts. Each instance went on sending such requests to the runners that were left. Change: quarantine::Tracker counts the run of a runner against the shared parts of the requests that it had not begun to respond to; the instances exchange crashes; three of them without a response to the part quarantine it for ten minutes, and selection refuses such requests before each send (503, true, with the time left). It works since the third crash suffices wherever the three were seen, and a part that runners respond to is cleared by that response everywhere. Ruled out: counting in each instance alone (three crashes each), rows in the store (not while it is away).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::route::Kind;
 use crate::selection::{self, Chosen, Excluded, Selection};
 use crate::wait::Wait;
-use crate::{id, mesh, relay};
+use crate::{crash_report, id, mesh, relay};
 
 /// Time reserved for returning the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
@@ -348,6 +348,7 @@
                     "connection to the runner failed before a response"
                 );
                 gateway.health.record_failure(&runner, gateway.now());
+                crash_report::report_crash(gateway, exchange, &chosen.runner);
                 return Outcome::Unknown(Reason::Broken);
             }
         };
@@ -439,6 +440,7 @@
                     "failed to read the response body"
                 );
                 gateway.health.record_failure(&runner, gateway.now());
+                crash_report::report_crash(gateway, &self.exchange, &delivery.chosen.runner);
                 return Outcome::Unknown(Reason::Broken);
             }
         };
@@ -451,6 +453,7 @@
         }
         self.log_response(&runner, status.as_u16());
         gateway.health.record_success(&runner);
+        crash_report::report_response(gateway, &self.exchange);
         Outcome::Final(response)
     }
 
@@ -485,6 +488,7 @@
                 self.gateway
                     .health
                     .record_failure(&runner, self.gateway.now());
+                crash_report::report_crash(&self.gateway, &self.exchange, &delivery.chosen.runner);
                 Outcome::Unknown(Reason::Broken)
             }
         }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Part {
     /// Id of the part.
-    pub id: String,
+    pub id: id::Part,
     /// Length in tokens.
     pub tokens: u64,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::summary::Collector;
 use crate::term::Term;
 use crate::topology::Topology;
-use crate::{Result, fetch, id};
+use crate::{Result, fetch, id, quarantine};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -82,6 +82,8 @@
     pub(crate) in_flight: Arc<Tracker>,
     pub(crate) prefixes: Index,
     pub(crate) health: Arc<Health>,
+    /// Prompt parts that crash runners.
+    pub(crate) quarantine: quarantine::Tracker,
     pub(crate) prefill: PrefillEstimator,
     pub(crate) service_times: ServiceTimeEstimator,
     pub(crate) event_gaps: EventGapEstimator,
@@ -132,6 +134,7 @@
             in_flight: Arc::default(),
             prefixes: Index::default(),
             health: Arc::default(),
+            quarantine: quarantine::Tracker::default(),
             prefill: PrefillEstimator::default(),
             service_times: ServiceTimeEstimator::default(),
             event_gaps: EventGapEstimator::default(),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,7 +19,7 @@
 use crate::gateway::Gateway;
 use crate::links::Link;
 use crate::report::Reports;
-use crate::{Result, report, tcp};
+use crate::{Result, crash_report, report, tcp};
 
 /// Environment name in the row keys of the gateways.
 pub(crate) const ENVIRONMENT: &str = "main";
@@ -104,6 +104,9 @@
     gateway.metrics.link();
     let (link, mut queue) = Link::new();
     gateway.links.open(&peer.instance, &link);
+    if let Some(quarantine) = gateway.quarantine.snapshot(gateway.now()) {
+        link.try_send(Message::Quarantine(quarantine));
+    }
     let send = async {
         loop {
             let message = tokio::select! {
@@ -334,6 +337,11 @@
             gateway.registry.apply_held(held.clone());
             rebroadcast(gateway, peer, Message::Held(held));
         }
+        Message::Quarantine(quarantine) => {
+            if crash_report::receive(gateway, &peer.instance, &quarantine) {
+                rebroadcast(gateway, peer, Message::Quarantine(quarantine));
+            }
+        }
         Message::Registry(registry) => {
             let now = gateway.now();
             let (revision, known) = (registry.revision, gateway.registry.newest_revision());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     Overloaded,
     /// The deadline passed before the request was sent to a runner.
     Expired,
+    /// A part of the prompt crashes runners.
+    CrashingPart,
     /// The retry budget is used up, and the request has not run.
     NoRetry,
     /// The deadline passed after the request was sent; the outcome is unknown.
@@ -78,6 +80,7 @@
             | Self::NoReplica
             | Self::Overloaded
             | Self::Expired
+            | Self::CrashingPart
             | Self::NoRetry => 503,
             Self::Broken | Self::BadAnswer => 502,
             Self::Timeout => 504,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::forward::millis;
 use crate::outcome::Stream;
 use crate::sse::{Scanner, Splitter};
-use crate::{Error, Result};
+use crate::{Error, Result, crash_report};
 
 /// Number of chunks that are queued for a slow caller.
 const QUEUE: usize = 16;
@@ -44,6 +44,8 @@
         attempt,
         chunks,
         bytes: 0,
+        received: 0,
+        has_event: false,
         longest_gap: Duration::ZERO,
     };
     tracker.spawn(relay.run(stream));
@@ -75,6 +77,10 @@
     scanner: Scanner,
     chunks: mpsc::Sender<Result<Bytes>>,
     bytes: usize,
+    /// Number of chunks that the current runner has sent.
+    received: usize,
+    /// Whether a runner has sent a whole event.
+    has_event: bool,
     /// Longest time between two chunks from the runners.
     longest_gap: Duration,
 }
@@ -100,14 +106,17 @@
     // returns, so that the runner stops before another one resumes the stream.
     async fn relay_stream(&mut self, mut stream: Box<Stream>) -> End {
         let mut chunk = stream.first.take();
+        self.received = 0;
         let mut event_at = self.attempt.gateway.now();
         loop {
             let Some(bytes) = chunk else {
                 return self.complete(*stream).await;
             };
+            self.received += 1;
             let now = self.attempt.gateway.now();
             if self.scanner.ends_event(&bytes) {
                 event_at = now;
+                self.has_event = true;
             } else if now.saturating_sub(event_at) > self.stall_timeout() {
                 let error = Code::Malformed("bytes without the end of an event".to_owned());
                 self.record_break(&stream, &error.into());
@@ -179,6 +188,9 @@
             return End::CallerLeft;
         }
         let gateway = &self.attempt.gateway;
+        if self.has_event {
+            crash_report::report_response(gateway, &self.attempt.exchange);
+        }
         let body = &self.attempt.exchange.body;
         stream.delivery.complete(gateway, body, &stream.head);
         End::Complete
@@ -233,6 +245,10 @@
         );
         let gateway = &self.attempt.gateway;
         gateway.health.record_failure(runner, gateway.now());
+        if self.received <= 1 {
+            let exchange = &self.attempt.exchange;
+            crash_report::report_crash(gateway, exchange, &stream.delivery.chosen.runner);
+        }
     }
 
     fn log_end(&self, end: End) {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -61,6 +61,11 @@
     if exchange.remaining(now) <= MIN_REMAINING {
         return Selection::Refuse(Refusal::new(Reason::Expired));
     }
+    let parts = exchange.call.shared_parts();
+    if let Some(remaining) = gateway.quarantine.remaining(&parts, now) {
+        let refusal = Refusal::new(Reason::CrashingPart);
+        return Selection::Refuse(refusal.with_retry_after(remaining));
+    }
     let registry = &gateway.registry;
     if !registry.has_usable(&exchange.service, now) {
         return Selection::Wait(
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -172,6 +172,7 @@
         gateway.prefixes.retain(is_known);
         gateway.health.retain(is_known);
         gateway.event_gaps.retain(is_known);
+        gateway.quarantine.expire(gateway.now());
     }
 }
 
