Streams that end with their connection inside an event are broken off

What callers would see: a stream whose runner ended in the middle of an event, with half an event as its last, or nothing, as a complete 200. Cause: a body without length and chunks ends with its connection, and the HTTP library reports any orderly end as the end of the body. Change: a body without framing is whole only if it ends with an event; otherwise it counts as broken, is resumed where the route allows that, and counts as a crash before the first response. One that ends without any byte is broken too. Ruled out: framed bodies, whose early end the library reports.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -466,7 +466,7 @@
         mut body: Incoming,
     ) -> Outcome {
         let runner = delivery.chosen.runner.id().clone();
-        match relay::next(&mut body).await {
+        match relay::first(&head, &mut body).await {
             Ok(first) => {
                 self.record_first_chunk(&mut delivery);
                 self.log_response(&runner, head.status.as_u16());
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http;
 
 use crate::delivery::Delivery;
@@ -47,3 +48,10 @@
     pub(crate) first: Option<Bytes>,
     pub(crate) body: Incoming,
 }
+
+/// Whether the end of the connection ends the body, so that a body that was broken off
+/// looks like a complete one.
+pub(crate) fn is_close_delimited(head: &http::response::Parts) -> bool {
+    let headers = &head.headers;
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, http};
 use strum::Display;
 use tokio::sync::mpsc;
 
@@ -15,7 +15,7 @@
 use crate::forward::millis;
 use crate::outcome::Stream;
 use crate::sse::{Scanner, Splitter};
-use crate::{Error, Result, crash_report};
+use crate::{Error, Result, crash_report, outcome};
 
 /// Number of chunks that are queued for a slow caller.
 const QUEUE: usize = 16;
@@ -69,6 +69,22 @@
     }
 }
 
+/// Reads the first chunk of a stream, or `None` if the stream is empty.
+///
+/// # Errors
+///
+/// Fails if the body ends early, also at once if only the connection delimits it.
+pub(crate) async fn first(
+    head: &http::response::Parts,
+    body: &mut Incoming,
+) -> Result<Option<Bytes>> {
+    let first = next(body).await?;
+    if first.is_none() && outcome::is_close_delimited(head) {
+        return Err(Code::Broken("the connection ended before an event".to_owned()).into());
+    }
+    Ok(first)
+}
+
 struct Relay {
     attempt: Attempt,
     /// Holds back incomplete events, on routes whose streams may be resumed at
@@ -107,9 +123,15 @@
     async fn relay_stream(&mut self, mut stream: Box<Stream>) -> End {
         let mut chunk = stream.first.take();
         self.received = 0;
+        self.scanner = Scanner::default();
         let mut event_at = self.attempt.gateway.now();
         loop {
             let Some(bytes) = chunk else {
+                if outcome::is_close_delimited(&stream.head) && self.scanner.is_inside_event() {
+                    let error = Code::Broken("the connection ended inside an event".to_owned());
+                    self.record_break(&stream, &error.into());
+                    return End::Broken;
+                }
                 return self.complete(*stream).await;
             };
             self.received += 1;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -62,13 +62,27 @@
 #[derive(Debug, Default)]
 pub struct Scanner {
     last: Option<u8>,
+    is_inside_event: bool,
 }
 
 impl Scanner {
     /// Whether an event ends in `bytes`, which follow those of the last call.
     pub fn ends_event(&mut self, bytes: &[u8]) -> bool {
         let starts_with_end = self.last == Some(b'\n') && bytes.first() == Some(&b'\n');
+        let end = match find_last_boundary(bytes) {
+            0 => usize::from(starts_with_end),
+            end => end,
+        };
+        if !bytes.is_empty() {
+            self.is_inside_event = end < bytes.len();
+        }
         self.last = bytes.last().copied().or(self.last);
-        starts_with_end || find_last_boundary(bytes) > 0
+        end > 0
+    }
+
+    /// Whether the bytes so far end inside an event.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.is_inside_event
     }
 }
