--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -104,6 +104,7 @@
 mod server;
 mod tcp;
 mod term;
+mod transfer;
 mod wait;
 mod watcher;
 
--- /dev/null
+++ b/crates/gateway/src/transfer.rs
@@ -0,0 +1,267 @@
+//! One send of a request to a runner, and its response.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, http};
+use tokio::time;
+
+use crate::delivery::Delivery;
+use crate::exchange::Exchange;
+use crate::forward::millis;
+use crate::gateway::Gateway;
+use crate::outcome::{Outcome, Response, Stream};
+use crate::pool::Failure;
+use crate::protocol::{Dispatch, Verdict};
+use crate::refusal::Reason;
+use crate::route::Kind;
+use crate::selection::Chosen;
+use crate::{crash_report, relay};
+
+/// Time reserved for returning the response to the caller.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
+/// Maximum size of a response that is buffered, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
+/// One send of a request to a runner.
+pub(crate) struct Transfer<'a> {
+    pub(crate) gateway: &'a Arc<Gateway>,
+    pub(crate) exchange: &'a Exchange,
+    /// Id of the event after which a stream is resumed.
+    pub(crate) resume_after: Option<u64>,
+    /// Number of sends of the request, including this one.
+    pub(crate) number: u32,
+}
+
+impl Transfer<'_> {
+    /// Sends the request to the chosen runner and waits for the response, or the first
+    /// chunk of a stream, until the deadline.
+    pub(crate) async fn run(&self, chosen: Chosen) -> Outcome {
+        let exchange = self.exchange;
+        let deadline = exchange.remaining(self.gateway.now());
+        let sending = self.send_once(chosen);
+        match time::timeout(deadline.saturating_sub(RESPONSE_MARGIN), sending).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::Unknown(Reason::Timeout),
+        }
+    }
+
+    async fn send_once(&self, chosen: Chosen) -> Outcome {
+        let gateway = self.gateway;
+        let exchange = self.exchange;
+        let runner = chosen.runner.id().clone();
+        let mut connection = match gateway.pool.connect(&runner, chosen.runner.address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error;
+                    "failed to connect to the runner"
+                );
+                gateway
+                    .health
+                    .record_connect_failure(&runner, gateway.now());
+                return Outcome::Unsent;
+            }
+        };
+        if !connection.is_reused {
+            gateway.metrics.connection();
+        }
+        let Some(request) = self.request(&chosen) else {
+            return Outcome::Unknown(Reason::BadRequest);
+        };
+        let target = exchange.call.target.as_ref();
+        let model = target.map_or("", |target| target.model.as_str());
+        let guard =
+            gateway
+                .in_flight
+                .track(&runner, target, chosen.prefill_tokens, exchange.tokens());
+        let service = &exchange.service;
+        gateway
+            .demand
+            .record_tokens(service, model, chosen.prefill_tokens);
+        gateway
+            .prefixes
+            .record(&runner, &exchange.blocks, gateway.now());
+        let sent_at = gateway.now();
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(Failure::NotSent) => return Outcome::Unsent,
+            Err(Failure::Broken(error)) => {
+                log::info!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    parts = exchange.call.shared_parts().join(","),
+                    error:% = error, reused = connection.is_reused;
+                    "connection to the runner failed before a response"
+                );
+                gateway.health.record_failure(&runner, gateway.now());
+                crash_report::report_crash(gateway, exchange, &chosen.runner);
+                return Outcome::Unknown(Reason::Broken);
+            }
+        };
+        let (head, body) = response.into_parts();
+        let delivery = Delivery {
+            chosen,
+            connection,
+            guard,
+            sent_at,
+        };
+        self.receive(delivery, head, body).await
+    }
+
+    fn request(&self, chosen: &Chosen) -> Option<Request<Full<Bytes>>> {
+        let exchange = self.exchange;
+        let dispatch = Dispatch {
+            runner: chosen.runner.id().clone(),
+            remaining: exchange
+                .remaining(self.gateway.now())
+                .saturating_sub(RESPONSE_MARGIN),
+            rank: exchange.route.rank,
+            resume_after: self.resume_after,
+        };
+        let address = chosen.runner.address;
+        let body = &exchange.body;
+        let protocol = &self.gateway.ports.protocol;
+        match protocol.encode(&exchange.head, address, body.len(), &dispatch) {
+            Ok(head) => Some(Request::from_parts(head, Full::new(body.clone()))),
+            Err(error) => {
+                log::warn!(request = exchange.call.attempt.as_str(), error:% = error; "failed to encode the request head");
+                None
+            }
+        }
+    }
+
+    async fn receive(
+        &self,
+        delivery: Delivery,
+        head: http::response::Parts,
+        body: Incoming,
+    ) -> Outcome {
+        let gateway = self.gateway;
+        let exchange = self.exchange;
+        let runner = delivery.chosen.runner.id();
+        let verdict = gateway
+            .ports
+            .protocol
+            .classify(&exchange.call, runner, &head);
+        match verdict {
+            Verdict::Answer => {}
+            Verdict::Foreign => {
+                log::warn!(
+                    request = exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    status = head.status.as_u16();
+                    "response does not belong to this request"
+                );
+                gateway.health.record_failure(runner, gateway.now());
+                return Outcome::Unknown(Reason::BadAnswer);
+            }
+            verdict => {
+                delivery.discard(gateway, &exchange.body, head, body);
+                return Outcome::NotRun(verdict);
+            }
+        }
+        if head.status.is_server_error() {
+            gateway.health.record_error(runner);
+        }
+        if exchange.route.kind == Kind::Stream && head.status.is_success() {
+            return self.open_stream(delivery, head, body).await;
+        }
+        self.collect(delivery, head, body).await
+    }
+
+    async fn collect(
+        &self,
+        mut delivery: Delivery,
+        head: http::response::Parts,
+        body: Incoming,
+    ) -> Outcome {
+        let gateway = self.gateway;
+        let runner = delivery.chosen.runner.id().clone();
+        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let bytes = match collected {
+            Ok(collected) => collected.to_bytes(),
+            Err(error) => {
+                log::info!(
+                    request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    error:% = error;
+                    "failed to read the response body"
+                );
+                gateway.health.record_failure(&runner, gateway.now());
+                crash_report::report_crash(gateway, self.exchange, &delivery.chosen.runner);
+                return Outcome::Unknown(Reason::Broken);
+            }
+        };
+        delivery.guard.start_decoding();
+        delivery.complete(gateway, &self.exchange.body, &head);
+        let status = head.status;
+        let response = Response::Complete(Box::new(head), bytes);
+        if status.is_server_error() {
+            return Outcome::Failed(response);
+        }
+        self.log_response(&runner, status.as_u16());
+        gateway.health.record_success(&runner);
+        crash_report::report_response(gateway, self.exchange);
+        Outcome::Final(response)
+    }
+
+    // Waits for the first chunk, so that a request whose stream breaks before it
+    // can still be sent to another runner.
+    async fn open_stream(
+        &self,
+        mut delivery: Delivery,
+        head: http::response::Parts,
+        mut body: Incoming,
+    ) -> Outcome {
+        let runner = delivery.chosen.runner.id().clone();
+        match relay::first(&head, &mut body).await {
+            Ok(first) => {
+                self.record_first_chunk(&mut delivery);
+                self.log_response(&runner, head.status.as_u16());
+                self.gateway.health.record_success(&runner);
+                Outcome::Final(Response::Stream(Box::new(Stream {
+                    delivery,
+                    head,
+                    first,
+                    body,
+                })))
+            }
+            Err(error) => {
+                log::info!(
+                    request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
+                    parts = self.exchange.call.shared_parts().join(","),
+                    error:% = error;
+                    "stream broke before its first chunk"
+                );
+                self.gateway
+                    .health
+                    .record_failure(&runner, self.gateway.now());
+                crash_report::report_crash(self.gateway, self.exchange, &delivery.chosen.runner);
+                Outcome::Unknown(Reason::Broken)
+            }
+        }
+    }
+
+    fn record_first_chunk(&self, delivery: &mut Delivery) {
+        delivery.guard.start_decoding();
+        if let Some(target) = &self.exchange.call.target {
+            let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
+            let tokens = delivery.chosen.queued_tokens;
+            self.gateway.prefill.observe(&target.model, tokens, elapsed);
+        }
+    }
+
+    /// Counts and logs a response that is returned to the caller.
+    pub(crate) fn log_response(&self, runner: &str, status: u16) {
+        let latency = self.gateway.now().saturating_sub(self.exchange.arrived);
+        let route = &self.exchange.route.name;
+        self.gateway.metrics.response(route, latency);
+        log::info!(
+            request = self.exchange.call.attempt.as_str(), route = route.as_str(), runner,
+            status, latency_ms = millis(latency), sends = self.number;
+            "runner responded"
+        );
+    }
+}
