Prompt parts are followed with limits on their number and length

Change: 32 parts of a request with ids of at most 128 bytes are followed; longer ids and later parts are never suspected. Figures: the new test fails without the limits (10,000 ids, one of 60,000 bytes). Ruled out: hashes in place of ids, which operators could not find in the logs. Conclusion: bounded; a crashing part behind the 32nd would stay unseen.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,6 +5,11 @@
 
 use crate::id;
 
+/// Most parts of a prompt that are followed across requests.
+const MAX_SHARED_PARTS: usize = 32;
+/// Longest id of a part that is followed across requests, in bytes.
+const MAX_SHARED_ID_BYTES: usize = 128;
+
 /// Model and adapter that a request is for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Target {
@@ -77,12 +82,13 @@
     }
 
     /// Returns the ids of the parts that other requests may share: all but the last, which
-    /// belongs to this request or its session.
+    /// belongs to this request or its session. Callers choose the ids, so their number and
+    /// length are limited.
     #[must_use]
     pub fn shared_parts(&self) -> Vec<&str> {
-        let shared = self.parts.len().saturating_sub(1);
-        let shared = self.parts.iter().take(shared);
-        shared.map(|part| part.id.as_str()).collect()
+        let shared = self.parts.len().saturating_sub(1).min(MAX_SHARED_PARTS);
+        let ids = self.parts.iter().take(shared).map(|part| part.id.as_str());
+        ids.filter(|id| id.len() <= MAX_SHARED_ID_BYTES).collect()
     }
 
     /// Returns a hash of the attempt id, for the choice of a service.
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use almondbank_gateway::call::{Call, Part};
 use almondbank_gateway::quarantine::Tracker;
 use almondbank_wire::mesh;
 use quickcheck::quickcheck;
@@ -138,3 +139,24 @@
     assert!(snapshot.crashes.len() <= 256);
     assert!(snapshot.crashing.is_empty());
 }
+
+#[test]
+fn only_some_short_ids_of_a_request_are_followed() {
+    let part = |id: String| Part { id, tokens: 1 };
+    let mut parts: Vec<_> = (0..10_000).map(|number| part(number.to_string())).collect();
+    parts.insert(0, part("x".repeat(60_000)));
+    let call = Call {
+        attempt: "a".to_owned(),
+        host: "h".to_owned(),
+        path: "/".to_owned(),
+        target: None,
+        parts,
+        prompt_tokens: 10_001,
+        max_output_tokens: 1,
+        timeout: None,
+        resume_after: None,
+    };
+    let shared = call.shared_parts();
+    assert!(shared.len() < 40 && shared.iter().all(|id| id.len() < 200));
+    assert_eq!(shared.first(), Some(&"0"));
+}
