A peer is asked only for versions that it has, and makes way when silent

What callers would see: two delegates without a new registration or environment for over ten seconds, so requests refused or sent to runners that had left. Cause: since only one request is outstanding, an instance waits for the answer of the peer that it asked. A summary was taken as if its sender had the newest versions of all its data centre: two delegates that were behind asked each other, neither could answer, and summaries came first after each timeout. Change: versions to request are those that the sender of a summary has itself; the newest of all still wake the reading of the store. Ruled out: load (it failed alone).

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -240,7 +240,7 @@
                 }
             }
             Message::Summary(summary) => {
-                let versions = apply_summary(gateway, reports, &summary);
+                let versions = apply_summary(gateway, reports, &peer, &summary);
                 if gateway.is_hierarchical() && !gateway.is_local_data_centre(&peer.data_centre) {
                     gateway.broadcast(Message::Summary(summary), Origin::Remote);
                     if let Some(fetch) = fetch_if_behind(gateway, &peer, versions) {
@@ -271,9 +271,15 @@
     gateway.prefixes.merge(status.kept.clone(), now);
 }
 
-// Applies the summary of another data centre; returns the newest versions that its
-// instances have.
-fn apply_summary(gateway: &Arc<Gateway>, reports: &Reports, summary: &mesh::Summary) -> Versions {
+// Applies the summary of another data centre that `peer` has sent; returns the versions
+// that `peer` itself has. Only these can be requested from it: of two delegates that are
+// behind, each would ask the other for what the instances of its data centre have.
+fn apply_summary(
+    gateway: &Arc<Gateway>,
+    reports: &Reports,
+    peer: &mesh::Hello,
+    summary: &mesh::Summary,
+) -> Versions {
     let mut versions = Versions::default();
     if gateway.is_local_data_centre(&summary.data_centre) {
         return versions;
@@ -284,8 +290,13 @@
             dial_member(gateway, reports, &report.hello);
         }
         gateway.members.update(report, now);
-        versions.environment = versions.environment.max(report.environment);
-        versions.registry = versions.registry.max(report.registry);
+        announce(gateway, report.environment);
+        if report.hello.instance == peer.instance {
+            versions = Versions {
+                environment: report.environment,
+                registry: report.registry,
+            };
+        }
     }
     let loads = summary.loads.clone();
     gateway
@@ -305,7 +316,9 @@
         environment: *gateway.version.borrow(),
         registry: gateway.registry.newest_revision(),
     };
-    let behind = gateway.fetches.start(known, reported, gateway.now())?;
+    let behind = gateway
+        .fetches
+        .start(&peer.instance, known, reported, gateway.now())?;
     gateway.metrics.fetch();
     log::info!(
         peer = peer.instance.as_str(), environment = known.environment,
