Instances share the limit that a runner names in its responses

Cause: no instance read the limit. It belongs to a class that the retry budget has met: a bound on all instances together, decided at each instance alone. Ruled out: a sum of instances that each keep to the limit (nothing reacts to it), repeats and orders (each request in the log is the first send, no orders in one of the windows). Change: runner_limit::Limiter, a token bucket for each limited runner with an equal part of the limit; as many instances share it as the accepted burst has room for. Requests that it does not admit go to other runners, wait for a token that comes in time, or are rejected at once with the time until there is one. The planner loads a model that requests wait for on a runner without a limit.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,6 +108,10 @@
             if !chosen.holds_adapter && !self.load_adapter(&chosen).await {
                 continue;
             }
+            let now = self.gateway.now();
+            if !self.gateway.take_limit(chosen.runner.id(), now) {
+                continue;
+            }
             self.reserve_send()?;
             self.log_send(&chosen);
             let runner = chosen.runner.id().clone();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -68,7 +68,11 @@
                     .into_iter()
                     .map(|(model, work)| (model, work.requests()))
                     .collect();
-                (runner.clone(), state.view(requests, pending_tokens, now))
+                let view = planner::Runner {
+                    is_limited: gateway.limits.is_limited(runner),
+                    ..state.view(requests, pending_tokens, now)
+                };
+                (runner.clone(), view)
             })
             .collect()
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::summary::Collector;
 use crate::term::Term;
 use crate::topology::Topology;
-use crate::{Result, fetch, id, quarantine};
+use crate::{Result, fetch, id, quarantine, runner_limit};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -84,6 +84,8 @@
     pub(crate) health: Arc<Health>,
     /// Prompt parts that crash runners.
     pub(crate) quarantine: quarantine::Tracker,
+    /// Limits that runners have named.
+    pub(crate) limits: runner_limit::Limiter,
     pub(crate) prefill: PrefillEstimator,
     pub(crate) service_times: ServiceTimeEstimator,
     pub(crate) event_gaps: EventGapEstimator,
@@ -135,6 +137,7 @@
             prefixes: Index::default(),
             health: Arc::default(),
             quarantine: quarantine::Tracker::default(),
+            limits: runner_limit::Limiter::default(),
             prefill: PrefillEstimator::default(),
             service_times: ServiceTimeEstimator::default(),
             event_gaps: EventGapEstimator::default(),
@@ -247,6 +250,30 @@
         self.term_changed.notify_one();
     }
 
+    /// Time until this instance may send a request to `runner` within the limit that the
+    /// runner has named.
+    pub(crate) fn limit_wait(&self, runner: &str, now: Duration) -> Duration {
+        if !self.limits.is_limited(runner) {
+            return Duration::ZERO;
+        }
+        self.limits
+            .wait(runner, self.share_position(runner, now), now)
+    }
+
+    /// Counts a request to `runner` towards the limit that it has named, if any; returns
+    /// whether the request may be sent.
+    pub(crate) fn take_limit(&self, runner: &str, now: Duration) -> bool {
+        !self.limits.is_limited(runner)
+            || self
+                .limits
+                .take(runner, self.share_position(runner, now), now)
+    }
+
+    fn share_position(&self, runner: &str, now: Duration) -> runner_limit::Position {
+        let own = &self.settings.instance;
+        self.members.share_position(own, runner, now)
+    }
+
     /// Forwards a message to the instances that have not received it, given its
     /// origin.
     pub(crate) fn broadcast(&self, message: mesh::Message, origin: Origin) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod report_timing;
 pub mod route;
 pub mod runner;
+pub mod runner_limit;
 pub mod scoring;
 pub mod service;
 pub mod service_time;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,6 +1,7 @@
 //! Membership: the other instances and their last reported state.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use crate::runner_limit::Position;
 use crate::topology::{self, Topology};
 use crate::{forward, id, report_timing};
 
@@ -328,13 +330,44 @@
     #[must_use]
     pub fn share_count(&self, now: Duration) -> usize {
         let inner = self.inner.lock();
-        let others = inner.values().filter(|member| {
+        1 + sharers(&inner, now).count()
+    }
+
+    /// Position of the instance `own` among those that share the limit of `runner`. The
+    /// order differs between runners and is the same at all instances.
+    #[must_use]
+    pub fn share_position(&self, own: &str, runner: &str, now: Duration) -> Position {
+        let inner = self.inner.lock();
+        let weight = |instance: &str| {
+            let mut hasher = DefaultHasher::new();
+            (runner, instance).hash(&mut hasher);
+            hasher.finish()
+        };
+        let mut position = Position {
+            rank: 0,
+            instances: 1,
+        };
+        for instance in sharers(&inner, now) {
+            position.instances += 1;
+            position.rank += usize::from(weight(instance) > weight(own));
+        }
+        position
+    }
+}
+
+// The other instances that shared limits are divided among.
+fn sharers(
+    members: &BTreeMap<id::Instance, Member>,
+    now: Duration,
+) -> impl Iterator<Item = &id::Instance> {
+    members
+        .iter()
+        .filter(move |(_, member)| {
             member
                 .last_report
                 .is_none_or(|last| now.saturating_sub(last) < SHARE_TTL)
-        });
-        1 + others.count()
-    }
+        })
+        .map(|(instance, _)| instance)
 }
 
 impl Member {
--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -59,6 +59,9 @@
     pub pending_tokens: u64,
     /// Model for which another one was unloaded.
     pub reserved_for: Option<id::Model>,
+    /// Whether it accepts only a limited number of requests. Its replicas do not count,
+    /// and no others are placed on it.
+    pub is_limited: bool,
 }
 
 /// Demand for one model.
@@ -272,7 +275,8 @@
         let may_use_store = self.store_loads > 0 && self.may_use_store(model);
         let options = self.view.runners.iter().filter_map(|(name, runner)| {
             let holds = runner.provides(model) || runner.models.contains(model);
-            if self.assigned.contains(name.as_str()) || runner.is_busy || holds {
+            let is_taken = self.assigned.contains(name.as_str()) || runner.is_busy;
+            if is_taken || holds || runner.is_limited {
                 return None;
             }
             let tier = runner.tier(model);
@@ -327,6 +331,7 @@
                     loading.is_some_and(|loading| runner.tier(loading) == Tier::Store);
                 let eviction = self.eviction(runner, model);
                 runner.tier(model) != Tier::Store
+                    && !runner.is_limited
                     && !is_loading_from_store
                     && eviction.is_some_and(|eviction| eviction.cost <= self.max_cost(model))
             })
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,8 @@
     NoReplica,
     /// All runners are too busy to respond before the deadline.
     Overloaded,
+    /// All runners that could serve the request have reached a limit that they named.
+    RunnerLimit,
     /// The deadline passed before the request was sent to a runner.
     Expired,
     /// A part of the prompt crashes runners.
@@ -79,6 +81,7 @@
             | Self::NoRunner
             | Self::NoReplica
             | Self::Overloaded
+            | Self::RunnerLimit
             | Self::Expired
             | Self::CrashingPart
             | Self::NoRetry => 503,
--- a/crates/gateway/src/replica_index.rs
+++ b/crates/gateway/src/replica_index.rs
@@ -40,10 +40,14 @@
         let copies = runner.in_memory.iter().chain(&runner.on_disk);
         for model in copies {
             self.copies.insert(model);
-            if !runner.models.contains(model) && !runner.provides(model) {
+            let is_held = runner.models.contains(model) || runner.provides(model);
+            if !is_held && !runner.is_limited {
                 self.spare_copies.insert(model);
             }
         }
+        if runner.is_limited {
+            return;
+        }
         let upcoming = runner.loading.iter().chain(&runner.reserved_for);
         let mut models: BTreeSet<&str> = upcoming.map(String::as_str).collect();
         models.extend(runner.models.iter().map(String::as_str));
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -428,6 +428,7 @@
             requests,
             pending_tokens,
             reserved_for,
+            is_limited: false,
         }
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -19,6 +19,9 @@
 const MIN_REMAINING: Duration = Duration::from_millis(20);
 /// Retry delay for the caller if all runners are busy.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest retry delay for the caller if all runners have reached their limits. Another
+/// instance may have a token sooner.
+const MAX_LIMIT_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Retry delay for the caller if no runner is registered.
 const NO_RUNNER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -108,9 +111,39 @@
     if runners.is_empty() {
         return Selection::Wait(Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER));
     }
+    let wait = |runner: &Runner| gateway.limit_wait(runner.id(), now);
+    let next_token = runners.iter().map(wait).min().unwrap_or_default();
+    if !next_token.is_zero() {
+        return wait_for_token(exchange, next_token, now);
+    }
+    runners.retain(|runner| wait(runner).is_zero());
     choose(gateway, exchange, runners, now)
 }
 
+// The runners that could serve the request have reached their limits. A replica may be
+// loaded on another runner before there is a token.
+fn wait_for_token(exchange: &Exchange, next_token: Duration, now: Duration) -> Selection {
+    let model = exchange
+        .engine()
+        .zip(exchange.call.target.as_ref())
+        .and_then(|(engine, target)| engine.models.get(&target.model));
+    let ready_in = match model {
+        Some(model) => {
+            let waited = now.saturating_sub(exchange.arrived);
+            let load_time = model.disk_load + LOAD_SLACK;
+            next_token.min(load_time.saturating_sub(waited))
+        }
+        None => next_token,
+    };
+    let left = exchange.wait_deadline().saturating_sub(now);
+    let retry_after = ready_in.clamp(BUSY_RETRY_AFTER, MAX_LIMIT_RETRY_AFTER);
+    let refusal = Refusal::new(Reason::RunnerLimit).with_retry_after(retry_after);
+    if left.is_zero() || ready_in > left {
+        return Selection::Refuse(refusal);
+    }
+    Selection::Wait(refusal)
+}
+
 fn wait_for_replica(exchange: &Exchange, ready_in: Duration, now: Duration) -> Selection {
     let waited = now.saturating_sub(exchange.arrived);
     let left = exchange.wait_deadline().saturating_sub(now);
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -18,6 +18,7 @@
 use crate::protocol::{Dispatch, Verdict};
 use crate::refusal::Reason;
 use crate::route::Kind;
+use crate::runner_limit::{Change, Named};
 use crate::selection::Chosen;
 use crate::{crash_report, relay};
 
@@ -147,6 +148,9 @@
             .ports
             .protocol
             .classify(&exchange.call, runner, &head);
+        if !matches!(verdict, Verdict::Foreign | Verdict::OtherRunner) {
+            self.record_limit(&delivery, verdict, &head);
+        }
         match verdict {
             Verdict::Answer => {}
             Verdict::Foreign => {
@@ -172,6 +176,38 @@
         self.collect(delivery, head, body).await
     }
 
+    // A rejection need not name the limit that holds.
+    fn record_limit(&self, delivery: &Delivery, verdict: Verdict, head: &http::response::Parts) {
+        let gateway = self.gateway;
+        let named = gateway.ports.protocol.named_limit(head);
+        if named == Named::Absent && verdict != Verdict::Answer {
+            return;
+        }
+        let runner = delivery.chosen.runner.id();
+        let born_ms = delivery.chosen.runner.registration.born_ms;
+        let now = gateway.now();
+        let change = gateway
+            .limits
+            .record(runner, born_ms, named, delivery.sent_at, now);
+        let request = self.exchange.call.attempt.as_str();
+        match change {
+            None => {}
+            Some(Change::Named(limit)) => log::info!(
+                request, runner = runner.as_str(), limit,
+                instances = gateway.members.share_count(now);
+                "runner named a limit on its requests per second"
+            ),
+            Some(Change::Ended) => log::info!(
+                request, runner = runner.as_str();
+                "runner names no limit any more"
+            ),
+            Some(Change::Malformed) => log::warn!(
+                request, runner = runner.as_str();
+                "runner named a malformed limit; it is ignored"
+            ),
+        }
+    }
+
     async fn collect(
         &self,
         mut delivery: Delivery,
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -37,10 +37,12 @@
         self.record();
     }
 
-    /// Keeps a request that is refused for lack of a replica in the reported demand
+    /// Keeps a request that is refused for lack of a replica that may be sent to in the reported demand
     /// until its caller is to return, so that the model is loaded by then.
     pub(crate) fn expect_return(mut self, refusal: &Refusal) {
-        let (Reason::NoReplica, Some(delay)) = (refusal.reason, refusal.retry_after) else {
+        let (Reason::NoReplica | Reason::RunnerLimit, Some(delay)) =
+            (refusal.reason, refusal.retry_after)
+        else {
             return;
         };
         self.record();
--- a/crates/gateway/tests/planner.rs
+++ b/crates/gateway/tests/planner.rs
@@ -535,3 +535,26 @@
     let demands = [("m0", overloaded)];
     assert_eq!(planner::decide(&view(&engine, &runners, &demands)), []);
 }
+
+#[test]
+fn a_model_whose_only_replica_is_limited_is_loaded_on_another_runner() {
+    let engine = engine(1);
+    let limited = Runner {
+        is_limited: true,
+        ..runner_with(&["m0"])
+    };
+    let other = Runner {
+        on_disk: BTreeSet::from(["m0".to_owned()]),
+        ..Runner::default()
+    };
+    let runners = [("limited", limited), ("other", other)];
+    let waited_for = view(&engine, &runners, &[("m0", demand(1.0, 2, 400))]);
+    let load = Decision::Load {
+        runner: "other".to_owned(),
+        model: "m0".to_owned(),
+        tier: Tier::Disk,
+    };
+    assert_eq!(planner::decide(&waited_for), [load]);
+    let served = view(&engine, &runners, &[("m0", demand(1.0, 0, 400))]);
+    assert_eq!(planner::decide(&served), []);
+}
