--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -451,5 +451,9 @@
     if new.born_ms != last.born_ms {
         return new.born_ms < last.born_ms;
     }
+    // A store that went back to a copy lists runners that have left since.
+    if known.removed_at.is_some() && new.beat == last.beat {
+        return true;
+    }
     new.beat < last.beat || (new.revision == last.revision && new.beat <= last.beat)
 }
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -158,3 +158,24 @@
     registry.apply(vec![Change::Put(entry("r", 8))], second(3));
     assert_eq!(usable(&registry, second(3)), 1);
 }
+
+#[test]
+fn an_older_copy_of_the_store_neither_revives_nor_undrains_a_runner() {
+    let registry = Registry::new(RECONCILE);
+    let with_beat = |revision, beat| mesh::Registration {
+        beat,
+        ..entry("r", revision)
+    };
+    registry.apply(vec![Change::Put(with_beat(1, 7))], second(0));
+    let copy = with_beat(100, 7);
+    registry.apply(vec![Change::Removed("r".to_owned(), 2)], second(1));
+    registry.replace(vec![copy.clone()], 100, second(2));
+    assert_eq!(usable(&registry, second(2)), 0);
+    let mut draining = with_beat(101, 8);
+    draining.draining = true;
+    registry.apply(vec![Change::Put(draining)], second(3));
+    registry.replace(vec![with_beat(200, 7)], 200, second(4));
+    assert_eq!(usable(&registry, second(4)), 0);
+    registry.apply(vec![Change::Put(with_beat(201, 9))], second(5));
+    assert_eq!(usable(&registry, second(5)), 1);
+}
