No fencing token is given out twice after the store lost the lease row

Callers see, without it: models loaded and unloaded by two leaders in turn, which runners that check tokens cannot tell apart. Cause: the next token came from the lease row alone. A row from before the last takings names a lower one, and the next leader used a token again. Change: a candidate takes one more than the highest token that the row names, that it had itself, or that any instance has reported. Ruled out: writing the row again by the holder that finds it older; a superseded holder that was frozen meanwhile would do the same. Conclusion: mended while one instance lives that heard of the token. If all that did are gone, only runners that check tokens notice.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -44,6 +44,9 @@
     seen: Option<Observation>,
     /// Version of the row whose holder has stated that it sends no more orders.
     resigned: Option<u64>,
+    /// Highest fencing token that is known to have been used. The row may name a lower
+    /// one if the table has lost writes.
+    used_fencing: id::Fencing,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -75,9 +78,15 @@
             clock,
             seen: None,
             resigned: None,
+            used_fencing: 0,
         }
     }
 
+    /// Records that a holder has used `fencing`, so that it is not given out again.
+    pub fn observe_fencing(&mut self, fencing: id::Fencing) {
+        self.used_fencing = self.used_fencing.max(fencing);
+    }
+
     /// Records that the holder that wrote the row's `version` sends no more orders
     /// under it, so that the lease is free while the row has that version.
     pub fn observe_resignation(&mut self, version: u64) {
@@ -162,11 +171,12 @@
         fencing: id::Fencing,
         former: Vec<row::Former>,
     ) -> Result<Option<Lease>> {
+        self.observe_fencing(fencing);
         let mut lease = Lease {
             identity: self.identity.clone(),
             table: Arc::clone(&self.table),
             clock: Arc::clone(&self.clock),
-            fencing: fencing + 1,
+            fencing: self.used_fencing + 1,
             renewal: 0,
             version,
             renewed_at: self.clock.now(),
@@ -177,7 +187,7 @@
             action: "take_lease".to_owned(),
             target: key::lease(&self.identity.environment),
             from: Some(fencing),
-            to: Some(fencing + 1),
+            to: Some(lease.fencing),
         };
         let transaction = lease.transaction();
         let transaction = audit::record(
@@ -189,7 +199,10 @@
         self.seen = None;
         let taken = lease.commit(transaction).await;
         match taken {
-            Ok(()) => Ok(Some(lease)),
+            Ok(()) => {
+                self.observe_fencing(lease.fencing);
+                Ok(Some(lease))
+            }
             Err(error) if error.category() == crate::Category::NotLeader => Ok(None),
             Err(error) => Err(error),
         }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -99,6 +99,7 @@
     if gateway.members.leader(gateway.now()).is_some() {
         return Ok(None);
     }
+    candidate.observe_fencing(gateway.members.highest_fencing());
     candidate.poll().await
 }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use almondbank_wire::mesh;
@@ -57,6 +58,8 @@
 pub struct Members {
     data_centre: String,
     inner: Mutex<BTreeMap<id::Instance, Member>>,
+    /// Highest fencing token that an instance has reported.
+    highest_fencing: AtomicU64,
     /// Notified when a leader reports that it no longer is one.
     leader_left: Notify,
 }
@@ -68,6 +71,7 @@
         Self {
             data_centre: data_centre.to_owned(),
             inner: Mutex::default(),
+            highest_fencing: AtomicU64::new(0),
             leader_left: Notify::new(),
         }
     }
@@ -124,6 +128,8 @@
         member.last_report = Some(at);
         member.is_ready = report.ready;
         member.is_leaving = report.leaving;
+        self.highest_fencing
+            .fetch_max(report.keeper, Ordering::Relaxed);
         let was_leader = std::mem::replace(&mut member.fencing, report.keeper) > 0;
         if was_leader && report.keeper == 0 {
             self.leader_left.notify_waiters();
@@ -273,6 +279,12 @@
             .map(|(instance, member)| (instance.clone(), member.fencing))
     }
 
+    /// Returns the highest fencing token that an instance has reported, also in the past.
+    #[must_use]
+    pub fn highest_fencing(&self) -> id::Fencing {
+        self.highest_fencing.load(Ordering::Relaxed)
+    }
+
     /// Returns the newest reported version of the lease row, and when it was
     /// reported.
     #[must_use]
