Instances write their rows again after the store has lost them

Callers see, without it: nothing while the links stand; after a restart of many instances at once, some that do not find the others, and so no limits shared and no leader known. Cause: an instance writes its row once, at the start. After the store went back to before it, the row stays missing. Evidence: a test that takes the store back to before all rows; no row was back after 10 s. Change: the loss of the store's history wakes the reading of the rows, and an instance that finds none of its own writes it again.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -30,7 +30,12 @@
         if !is_registered {
             is_registered = register(&gateway).await;
         }
-        let is_read = read_members(&gateway, &reports).await;
+        let listed = read_members(&gateway, &reports).await;
+        let is_read = listed.is_some();
+        let is_lost = listed == Some(false) && !gateway.leaving.is_cancelled();
+        if is_lost && std::mem::take(&mut is_registered) {
+            log::warn!("store has lost the row of this instance; it is written again");
+        }
         if !is_read {
             for seed in gateway.settings.seeds.clone() {
                 dial(&gateway, &reports, seed);
@@ -44,6 +49,7 @@
         };
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
+            () = gateway.history_lost.notified() => {}
             () = gateway.clock.sleep(pause) => {}
         }
     }
@@ -70,18 +76,23 @@
     }
 }
 
-async fn read_members(gateway: &Arc<Gateway>, reports: &Reports) -> bool {
+// Reads the rows of all instances; returns whether this one is listed, or `None` if the
+// rows could not be read.
+async fn read_members(gateway: &Arc<Gateway>, reports: &Reports) -> Option<bool> {
     let rows = match gateway.ports.table.scan(&key::members(ENVIRONMENT)).await {
         Ok(rows) => rows,
         Err(error) => {
             log::warn!(error:% = error; "failed to read the rows of the instances");
-            return false;
+            return None;
         }
     };
+    let mut is_listed = false;
     let mut addresses = Vec::new();
     for row in rows {
         match key::decode::<mesh::Hello>(&row.key, &row.value) {
-            Ok(hello) if hello.instance == gateway.settings.instance => {}
+            Ok(hello) if hello.instance == gateway.settings.instance => {
+                is_listed = true;
+            }
             Ok(hello) => {
                 gateway.members.insert(&hello);
                 addresses.extend(hello.peers.parse::<SocketAddr>().ok());
@@ -94,7 +105,7 @@
     for address in addresses {
         dial(gateway, reports, address);
     }
-    true
+    Some(is_listed)
 }
 
 /// Updates the topology as instances join and leave.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,9 @@
     pub(crate) follows: AtomicBool,
     /// Messages to forward on the links.
     pub(crate) fanout: broadcast::Sender<Arc<Envelope>>,
+    /// Notified when the store has lost its history, and with it perhaps rows that this
+    /// instance has written.
+    pub(crate) history_lost: Notify,
     /// Links that this instance is to keep.
     pub(crate) topology: watch::Sender<Topology>,
     /// Reports for the next summary of this data centre.
@@ -150,6 +153,7 @@
             metrics: Metrics::new()?,
             follows: AtomicBool::new(false),
             fanout: broadcast::Sender::new(FORWARD_QUEUE),
+            history_lost: Notify::new(),
             topology: watch::Sender::new(Topology::default()),
             collector: Collector::default(),
             term: Mutex::default(),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -220,6 +220,7 @@
                 }
                 if error.category() == Category::HistoryLost {
                     self.revision = None;
+                    gateway.history_lost.notify_one();
                 }
                 tokio::select! {
                     () = gateway.stopped.cancelled() => return false,
