A stream goes on only at the software version that began it

Callers see, without it: a stream that broke off goes on, with status 200 and to its end, at a runner of another software version; the text is joined from two that do not fit. Cause: no instance read the version of a runner's registration. A resume within one answer went to any runner, and so did a caller's take-up, also after all instances were killed and the old version had left, when nothing showed that it ever served. Change: registrations carry the version; a resume keeps to the version of the runner before. A take-up goes to the version that began the stream if it began at this instance, else to the only version that served since it may have begun: by the registrations, those of runners removed within a minute included, and, in an instance younger than the route's timeout, by a row in which the leader records the versions. With several it is refused: 503, not run. Why it works: what may have begun a stream is never fewer versions than did. Ruled out: the runners' start times, which do not show what has left. An instance of the release before cannot read registrations with a version from peers (not run).

--- a/crates/control/src/key.rs
+++ b/crates/control/src/key.rs
@@ -61,6 +61,12 @@
     format!("env/{environment}/member/{instance}")
 }
 
+/// Key of the row with the software versions of the runners.
+#[must_use]
+pub fn software(environment: &str) -> String {
+    format!("env/{environment}/software")
+}
+
 /// Key prefix of the rows that drain runners.
 #[must_use]
 pub fn drains(environment: &str) -> String {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use crate::outcome::{Outcome, Response, Stream};
 use crate::protocol::Verdict;
 use crate::refusal::{Reason, Refusal};
+use crate::registry::Runner;
 use crate::selection::{self, Chosen, Excluded, Selection};
 use crate::transfer::Transfer;
 use crate::wait::Wait;
@@ -40,11 +41,19 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(gateway: Arc<Gateway>, exchange: Arc<Exchange>) -> Self {
+    /// Creates the state of a request that may run only at `software`, if that is given.
+    pub(crate) fn new(
+        gateway: Arc<Gateway>,
+        exchange: Arc<Exchange>,
+        software: Option<id::Software>,
+    ) -> Self {
         Self {
             gateway,
             exchange,
-            excluded: Excluded::default(),
+            excluded: Excluded {
+                software,
+                ..Excluded::default()
+            },
             sends: 0,
             runs: 0,
             is_in_flight: false,
@@ -80,18 +89,22 @@
         }
     }
 
-    /// Resumes a stream that broke after the event `after` on another runner.
+    /// Resumes a stream that broke after the event `after` on another runner, which has the
+    /// same software version if there was an event.
     ///
     /// # Errors
     ///
     /// Fails if the request may not be sent again or no runner accepts it.
     pub(crate) async fn resume(
         &mut self,
-        runner: &str,
+        runner: &Runner,
         after: Option<u64>,
     ) -> Result<Box<Stream>, Refusal> {
         self.runs += 1;
-        self.excluded.tried.insert(runner.to_owned());
+        self.excluded.tried.insert(runner.id().clone());
+        if after.is_some() {
+            self.excluded.software = Some(runner.software().to_owned());
+        }
         if !self.may_repeat() {
             return Err(Refusal::new(Reason::Broken));
         }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -58,6 +58,8 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the attempt that got the first event of that stream, if the caller names it.
+    pub resumes: Option<id::Attempt>,
 }
 
 impl Call {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub enum Change {
     /// The runner registered or changed its registration.
-    Put(mesh::Registration),
+    Put(Box<mesh::Registration>),
     /// The runner's registration is deleted or unreadable as of this revision.
     Removed(id::Runner, u64),
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use crate::gateway::Gateway;
 use crate::outcome::Response as RunnerResponse;
 use crate::refusal::{Reason, Refusal};
-use crate::{call, relay};
+use crate::{call, relay, stream_origin};
 
 /// Reads one request of a caller, forwards it and returns the response.
 pub(crate) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
@@ -93,13 +93,21 @@
             .demand
             .record_arrival(&exchange.service, &target.model, objective);
     }
-    let mut attempt = Attempt::new(Arc::clone(gateway), Arc::clone(&exchange));
+    let required = match stream_origin::required(gateway, &exchange) {
+        Ok(required) => required,
+        Err(refusal) => return refuse(gateway, Some(&exchange.call), &refusal),
+    };
+    let mut attempt = Attempt::new(Arc::clone(gateway), Arc::clone(&exchange), required);
     match attempt.run().await {
         Ok(RunnerResponse::Complete(head, body)) => {
             let parts = gateway.ports.protocol.response_head(&head);
             Response::from_parts(parts, Body::from(body))
         }
-        Ok(RunnerResponse::Stream(stream)) => relay::start(attempt, *stream),
+        Ok(RunnerResponse::Stream(stream)) => {
+            let runner = &stream.delivery.chosen.runner;
+            stream_origin::record_stream(gateway, &exchange, runner.software());
+            relay::start(attempt, *stream)
+        }
         Err(refusal) => refuse(gateway, Some(&exchange.call), &refusal),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::summary::Collector;
 use crate::term::Term;
 use crate::topology::Topology;
-use crate::{Result, fetch, id, quarantine, runner_limit};
+use crate::{Result, fetch, id, quarantine, runner_limit, software};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -86,6 +86,8 @@
     pub(crate) quarantine: quarantine::Tracker,
     /// Limits that runners have named.
     pub(crate) limits: runner_limit::Limiter,
+    /// Software versions that began streams.
+    pub(crate) software: software::History,
     pub(crate) prefill: PrefillEstimator,
     pub(crate) service_times: ServiceTimeEstimator,
     pub(crate) event_gaps: EventGapEstimator,
@@ -141,6 +143,7 @@
             health: Arc::default(),
             quarantine: quarantine::Tracker::default(),
             limits: runner_limit::Limiter::default(),
+            software: software::History::default(),
             prefill: PrefillEstimator::default(),
             service_times: ServiceTimeEstimator::default(),
             event_gaps: EventGapEstimator::default(),
--- a/crates/gateway/src/id.rs
+++ b/crates/gateway/src/id.rs
@@ -6,6 +6,8 @@
 pub type Service = String;
 /// Id of one request, as sent by the caller.
 pub type Attempt = String;
+/// Version of the software of a runner; versions have no order.
+pub type Software = String;
 /// Id of one part of a prompt.
 pub type Part = String;
 /// Hash of a prompt prefix for one model and adapter.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,10 @@
     Overloaded,
     /// All runners that could serve the request have reached a limit that they named.
     RunnerLimit,
+    /// The request takes up a stream, and the software version that began it is not known.
+    UnknownOrigin,
+    /// No runner has the software version that began the stream.
+    NoSoftware,
     /// The deadline passed before the request was sent to a runner.
     Expired,
     /// A part of the prompt crashes runners.
@@ -82,6 +86,8 @@
             | Self::NoReplica
             | Self::Overloaded
             | Self::RunnerLimit
+            | Self::UnknownOrigin
+            | Self::NoSoftware
             | Self::Expired
             | Self::CrashingPart
             | Self::NoRetry => 503,
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -11,11 +11,11 @@
 
 use crate::call::Target;
 use crate::feed::Change;
-use crate::id;
+use crate::{id, software};
 
 /// Time for which a removed registration is kept as a tombstone, so that an older
 /// copy from a peer does not restore it.
-const TOMBSTONE_TTL: Duration = Duration::from_mins(1);
+pub(crate) const TOMBSTONE_TTL: Duration = Duration::from_mins(1);
 /// Time without requests for a model that a runner has refused to serve.
 const REFUSING_TTL: Duration = Duration::from_millis(400);
 /// Time without requests for a model that a runner has not loaded.
@@ -53,6 +53,12 @@
         &self.registration.runner
     }
 
+    /// Version of its software; empty if the runner reports none.
+    #[must_use]
+    pub fn software(&self) -> &str {
+        self.registration.software.as_deref().unwrap_or_default()
+    }
+
     /// Whether the runner accepts new requests.
     #[must_use]
     pub fn is_usable(&self, now: Duration) -> bool {
@@ -114,7 +120,8 @@
     newest: u64,
     /// Time of the last failed read of the store.
     failed_at: Option<Duration>,
-    is_loaded: bool,
+    /// Time at which the full list of registrations was read first.
+    loaded_at: Option<Duration>,
 }
 
 impl Registry {
@@ -143,7 +150,34 @@
     /// Whether the full list of registrations was read at least once.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        self.inner.lock().is_loaded
+        self.inner.lock().loaded_at.is_some()
+    }
+
+    /// Time since the full list of registrations was read first.
+    #[must_use]
+    pub fn watched(&self, now: Duration) -> Duration {
+        let loaded_at = self.inner.lock().loaded_at;
+        loaded_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
+    /// Returns the software versions of the runners of `service`, also of those that were
+    /// removed within `TOMBSTONE_TTL`.
+    #[must_use]
+    pub fn software(&self, service: &str) -> BTreeSet<id::Software> {
+        self.all_software().remove(service).unwrap_or_default()
+    }
+
+    /// Returns the software versions as [`Registry::software`] does, by service.
+    #[must_use]
+    pub fn all_software(&self) -> software::Versions {
+        let inner = self.inner.lock();
+        let mut versions = software::Versions::new();
+        for runner in inner.runners.values() {
+            let service = runner.registration.service.clone();
+            let of_service = versions.entry(service).or_default();
+            of_service.insert(runner.software().to_owned());
+        }
+        versions
     }
 
     /// Records that the store could not be read.
@@ -159,7 +193,7 @@
         let mut inner = self.inner.lock();
         for change in changes {
             match change {
-                Change::Put(registration) => inner.put(registration, now),
+                Change::Put(registration) => inner.put(*registration, now),
                 Change::Removed(runner, revision) => {
                     inner.newest = inner.newest.max(revision);
                     inner.remove(&runner, revision, now, self.reconcile);
@@ -190,7 +224,7 @@
         for runner in missing {
             inner.remove(&runner, revision, now, self.reconcile);
         }
-        inner.is_loaded = true;
+        inner.loaded_at.get_or_insert(now);
         inner.purge_tombstones(now);
         drop(inner);
         self.notify();
@@ -212,7 +246,8 @@
             Some(after) if after <= newest => {
                 let removed = registry.removed.into_iter();
                 let removed = removed.map(|entry| Change::Removed(entry.runner, entry.revision));
-                let put = registry.registrations.into_iter().map(Change::Put);
+                let put = registry.registrations.into_iter().map(Box::new);
+                let put = put.map(Change::Put);
                 self.apply(removed.chain(put).collect(), now);
                 true
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::error::Code;
 use crate::forward::millis;
 use crate::outcome::Stream;
+use crate::registry::Runner;
 use crate::sse::{Scanner, Splitter};
 use crate::{Error, Result, crash_report, outcome};
 
@@ -105,7 +106,7 @@
     async fn run(mut self, stream: Stream) {
         let mut stream = Box::new(stream);
         let end = loop {
-            let runner = stream.delivery.chosen.runner.id().clone();
+            let runner = stream.delivery.chosen.runner.clone();
             let end = self.relay_stream(stream).await;
             if end != End::Broken {
                 break end;
@@ -218,7 +219,7 @@
         End::Complete
     }
 
-    async fn resume(&mut self, runner: &str) -> Option<Box<Stream>> {
+    async fn resume(&mut self, runner: &Runner) -> Option<Box<Stream>> {
         let after = match &mut self.splitter {
             Some(splitter) => {
                 splitter.take_rest();
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -56,6 +56,16 @@
     pub(crate) tried: BTreeSet<id::Runner>,
     /// Runners that could not load the adapter.
     pub(crate) without_adapter: BTreeSet<id::Runner>,
+    /// Software version that began the stream; runners with another one are excluded.
+    pub(crate) software: Option<id::Software>,
+}
+
+impl Excluded {
+    fn allows(&self, runner: &Runner) -> bool {
+        let software = self.software.as_deref();
+        let is_same = software.is_none_or(|software| software == runner.software());
+        is_same && !self.tried.contains(runner.id())
+    }
 }
 
 /// Selects a runner that is not excluded.
@@ -75,6 +85,12 @@
             Refusal::new(Reason::NoRunner).with_retry_after(NO_RUNNER_RETRY_AFTER),
         );
     }
+    if let Some(software) = &excluded.software {
+        let usable = registry.usable(&exchange.service, now);
+        if !usable.iter().any(|runner| runner.software() == software) {
+            return Selection::Refuse(Refusal::new(Reason::NoSoftware));
+        }
+    }
     let mut runners = match exchange.engine().zip(exchange.call.target.as_ref()) {
         Some((engine, target)) => {
             let Some(model) = engine.models.get(&target.model) else {
@@ -82,8 +98,7 @@
             };
             let (mut runners, has_copy) = registry.replicas(&exchange.service, &target.model, now);
             runners.retain(|runner| {
-                let id = runner.id();
-                !excluded.tried.contains(id) && !gateway.health.is_ejected(id, now)
+                excluded.allows(runner) && !gateway.health.is_ejected(runner.id(), now)
             });
             if runners.is_empty() {
                 let load_time = if has_copy {
@@ -97,7 +112,7 @@
         }
         None => registry.usable(&exchange.service, now),
     };
-    runners.retain(|runner| !excluded.tried.contains(runner.id()));
+    runners.retain(|runner| excluded.allows(runner));
     if runners.is_empty() {
         return Selection::Refuse(
             Refusal::new(Reason::Overloaded).with_retry_after(BUSY_RETRY_AFTER),
--- /dev/null
+++ b/crates/gateway/src/software.rs
@@ -0,0 +1,118 @@
+//! Software versions of runners, and which of them began a stream.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version
+//! that began it. An instance knows the version of the streams that began at it. A stream
+//! that began elsewhere can be of any version that served lately; it goes on if there is
+//! only one.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use crate::id;
+
+/// Most streams whose version is kept; the oldest makes room.
+const MAX_STREAMS: usize = 16_384;
+/// Longest attempt id that is kept, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// Versions that serve or served lately, by service.
+pub type Versions = BTreeMap<id::Service, BTreeSet<id::Software>>;
+
+/// What an instance knows of the versions that began streams.
+#[derive(Debug, Default)]
+pub struct History {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Versions in the store when this instance started, if they could be read.
+    recorded: Option<Versions>,
+    streams: BTreeMap<Stream, id::Software>,
+    /// Streams in the order in which they began, each with the time until which its
+    /// version is kept.
+    order: VecDeque<(Stream, Duration)>,
+}
+
+/// Service of a stream, and the attempt that got its first event.
+type Stream = (id::Service, id::Attempt);
+
+impl History {
+    /// Records that a runner with `software` began the stream of `attempt`, which ends
+    /// before `until`.
+    pub fn begin(
+        &self,
+        service: &str,
+        attempt: &str,
+        software: &str,
+        until: Duration,
+        now: Duration,
+    ) {
+        if attempt.len() > MAX_ID_BYTES {
+            return;
+        }
+        let mut inner = self.inner.lock();
+        inner.expire(now);
+        let stream = (service.to_owned(), attempt.to_owned());
+        inner.order.push_back((stream.clone(), until));
+        inner.streams.insert(stream, software.to_owned());
+    }
+
+    /// Sets the versions that were found in the store at the start.
+    pub fn set_recorded(&self, versions: Versions) {
+        self.inner.lock().recorded = Some(versions);
+    }
+
+    /// Returns the version that began the stream of `attempt`, or `None` if it cannot be
+    /// known. `seen` are the versions that this instance has seen in the service, and
+    /// `is_complete` is whether it has watched the service since before the stream began.
+    #[must_use]
+    pub fn origin(
+        &self,
+        service: &str,
+        attempt: &str,
+        seen: &BTreeSet<id::Software>,
+        is_complete: bool,
+    ) -> Option<id::Software> {
+        let inner = self.inner.lock();
+        let stream = (service.to_owned(), attempt.to_owned());
+        if let Some(software) = inner.streams.get(&stream) {
+            return Some(software.clone());
+        }
+        let mut possible = seen.clone();
+        if !is_complete {
+            let recorded = inner.recorded.as_ref()?.get(service)?;
+            possible.extend(recorded.iter().cloned());
+        }
+        if possible.len() > 1 {
+            return None;
+        }
+        possible.pop_first()
+    }
+
+    /// Adds the versions that were in the store at the start to `versions`.
+    #[must_use]
+    pub fn merge_recorded(&self, mut versions: Versions) -> Versions {
+        if let Some(recorded) = &self.inner.lock().recorded {
+            for (service, software) in recorded {
+                let of_service = versions.entry(service.clone()).or_default();
+                of_service.extend(software.iter().cloned());
+            }
+        }
+        versions
+    }
+}
+
+impl Inner {
+    fn expire(&mut self, now: Duration) {
+        while let Some((stream, until)) = self.order.front() {
+            if self.order.len() < MAX_STREAMS && now < *until {
+                return;
+            }
+            self.streams.remove(stream);
+            self.order.pop_front();
+        }
+    }
+}
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -143,7 +143,7 @@
     for change in changes {
         let revision = match change {
             Change::Put(registration) => {
-                registry.registrations.push(registration.clone());
+                registry.registrations.push((**registration).clone());
                 registration.revision
             }
             Change::Removed(runner, revision) => {
--- a/crates/gateway/tests/adapter_step.rs
+++ b/crates/gateway/tests/adapter_step.rs
@@ -32,6 +32,7 @@
         beat: 1,
         born_ms: 1,
         models: vec![model(adapters)],
+        software: None,
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         revision: 1,
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -155,6 +155,7 @@
         max_output_tokens: 1,
         timeout: None,
         resume_after: None,
+        resumes: None,
     };
     let shared = call.shared_parts();
     assert!(shared.len() < 40 && shared.iter().all(|id| id.len() < 200));
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -21,12 +21,17 @@
         beat: revision,
         born_ms: 1,
         models: Vec::new(),
+        software: None,
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         revision,
     }
 }
 
+fn put(registration: mesh::Registration) -> Change {
+    Change::Put(Box::new(registration))
+}
+
 fn second(second: u64) -> Duration {
     Duration::from_secs(second)
 }
@@ -38,18 +43,18 @@
 #[test]
 fn a_draining_runner_gets_no_new_requests() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 1))], second(0));
+    registry.apply(vec![put(entry("r", 1))], second(0));
     assert_eq!(usable(&registry, second(0)), 1);
     let mut draining = entry("r", 2);
     draining.draining = true;
-    registry.apply(vec![Change::Put(draining)], second(1));
+    registry.apply(vec![put(draining)], second(1));
     assert_eq!(usable(&registry, second(1)), 0);
 }
 
 #[test]
 fn a_removed_runner_is_unusable_at_once_without_an_outage() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 1))], second(0));
+    registry.apply(vec![put(entry("r", 1))], second(0));
     registry.apply(vec![Change::Removed("r".to_owned(), 2)], second(5));
     assert_eq!(usable(&registry, second(5)), 0);
 }
@@ -57,7 +62,7 @@
 #[test]
 fn a_runner_removed_after_an_outage_stays_usable_for_two_seconds() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 1))], second(0));
+    registry.apply(vec![put(entry("r", 1))], second(0));
     registry.record_outage(second(4));
     registry.replace(Vec::new(), 9, second(5));
     assert_eq!(usable(&registry, second(6)), 1);
@@ -69,35 +74,35 @@
     let registry = Registry::new(RECONCILE);
     let mut draining = entry("r", 5);
     draining.draining = true;
-    registry.apply(vec![Change::Put(draining)], second(0));
+    registry.apply(vec![put(draining)], second(0));
     // A copy from a peer, a late heartbeat of the same run under a newer revision,
     // and a heartbeat of an earlier run.
-    registry.apply(vec![Change::Put(entry("r", 4))], second(1));
+    registry.apply(vec![put(entry("r", 4))], second(1));
     let mut late_heartbeat = entry("r", 6);
     late_heartbeat.beat = 3;
-    registry.apply(vec![Change::Put(late_heartbeat)], second(1));
+    registry.apply(vec![put(late_heartbeat)], second(1));
     let mut former_run = entry("r", 7);
     former_run.born_ms = 0;
-    registry.apply(vec![Change::Put(former_run)], second(1));
+    registry.apply(vec![put(former_run)], second(1));
     assert_eq!(usable(&registry, second(1)), 0);
 }
 
 #[test]
 fn a_new_run_under_the_same_id_replaces_the_entry() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 5))], second(0));
+    registry.apply(vec![put(entry("r", 5))], second(0));
     let mut new_run = entry("r", 6);
     new_run.born_ms = 2;
     new_run.beat = 1;
     new_run.slots = 9;
-    registry.apply(vec![Change::Put(new_run)], second(1));
+    registry.apply(vec![put(new_run)], second(1));
     assert_eq!(registry.usable("s", second(1))[0].registration.slots, 9);
 }
 
 #[test]
 fn changes_after_a_gap_are_not_merged() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 5))], second(0));
+    registry.apply(vec![put(entry("r", 5))], second(0));
     let changes = |after, revision| mesh::Registry {
         after,
         revision,
@@ -122,7 +127,7 @@
         version: 1,
         adapters: Vec::new(),
     });
-    registry.apply(vec![Change::Put(holding)], second(0));
+    registry.apply(vec![put(holding)], second(0));
     let target = Target {
         model: "m".to_owned(),
         adapter: None,
@@ -140,7 +145,7 @@
 #[test]
 fn a_removal_is_not_undone_by_an_older_entry() {
     let registry = Registry::new(RECONCILE);
-    registry.apply(vec![Change::Put(entry("r", 5))], second(0));
+    registry.apply(vec![put(entry("r", 5))], second(0));
     let batch = mesh::Registry {
         after: Some(5),
         revision: 7,
@@ -153,9 +158,9 @@
     assert!(registry.merge(batch, second(1)));
     assert_eq!(usable(&registry, second(1)), 0);
     // A copy of the last registration from a peer that has not received the removal.
-    registry.apply(vec![Change::Put(entry("r", 6))], second(2));
+    registry.apply(vec![put(entry("r", 6))], second(2));
     assert_eq!(usable(&registry, second(2)), 0);
-    registry.apply(vec![Change::Put(entry("r", 8))], second(3));
+    registry.apply(vec![put(entry("r", 8))], second(3));
     assert_eq!(usable(&registry, second(3)), 1);
 }
 
@@ -166,16 +171,16 @@
         beat,
         ..entry("r", revision)
     };
-    registry.apply(vec![Change::Put(with_beat(1, 7))], second(0));
+    registry.apply(vec![put(with_beat(1, 7))], second(0));
     let copy = with_beat(100, 7);
     registry.apply(vec![Change::Removed("r".to_owned(), 2)], second(1));
     registry.replace(vec![copy.clone()], 100, second(2));
     assert_eq!(usable(&registry, second(2)), 0);
     let mut draining = with_beat(101, 8);
     draining.draining = true;
-    registry.apply(vec![Change::Put(draining)], second(3));
+    registry.apply(vec![put(draining)], second(3));
     registry.replace(vec![with_beat(200, 7)], 200, second(4));
     assert_eq!(usable(&registry, second(4)), 0);
-    registry.apply(vec![Change::Put(with_beat(201, 9))], second(5));
+    registry.apply(vec![put(with_beat(201, 9))], second(5));
     assert_eq!(usable(&registry, second(5)), 1);
 }
--- a/crates/gateway/tests/runner.rs
+++ b/crates/gateway/tests/runner.rs
@@ -28,6 +28,7 @@
         beat: revision,
         born_ms: 1,
         models,
+        software: None,
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         revision,
--- /dev/null
+++ b/crates/gateway/tests/software.rs
@@ -0,0 +1,66 @@
+//! Which software version began a stream.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use almondbank_gateway::software::{History, Versions};
+
+const SERVICE: &str = "engines";
+
+fn versions(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn second(second: u64) -> Duration {
+    Duration::from_secs(second)
+}
+
+fn recorded(names: &[&str]) -> History {
+    let history = History::default();
+    history.set_recorded(Versions::from([(SERVICE.to_owned(), versions(names))]));
+    history
+}
+
+#[test]
+fn the_version_of_a_stream_that_began_here_is_known_whatever_serves() {
+    let history = History::default();
+    history.begin(SERVICE, "a", "v1", second(10), second(0));
+    let seen = versions(&["v1", "v2"]);
+    assert_eq!(history.origin(SERVICE, "a", &seen, false).unwrap(), "v1");
+    let seen = versions(&["v2"]);
+    assert_eq!(history.origin(SERVICE, "a", &seen, true).unwrap(), "v1");
+    assert_eq!(history.origin("other", "a", &versions(&[]), true), None);
+}
+
+#[test]
+fn a_stream_that_began_elsewhere_is_of_the_only_version_that_served_or_unknown() {
+    let history = History::default();
+    let one = versions(&["v1"]);
+    let two = versions(&["v1", "v2"]);
+    assert_eq!(history.origin(SERVICE, "a", &one, true).unwrap(), "v1");
+    assert_eq!(history.origin(SERVICE, "a", &two, true), None);
+    assert_eq!(history.origin(SERVICE, "a", &one, false), None);
+    let seen = |history: &History| history.origin(SERVICE, "a", &one, false);
+    assert_eq!(seen(&recorded(&["v1"])).unwrap(), "v1");
+    assert_eq!(seen(&recorded(&["v0", "v1"])), None);
+    assert_eq!(seen(&recorded(&["v0"])), None);
+}
+
+#[test]
+fn versions_of_streams_are_kept_for_their_time_and_in_limited_number() {
+    let history = History::default();
+    let none = versions(&[]);
+    history.begin(SERVICE, "early", "v1", second(10), second(0));
+    history.begin(SERVICE, "later", "v1", second(30), second(20));
+    assert_eq!(history.origin(SERVICE, "early", &none, true), None);
+    for number in 0..20_000 {
+        let attempt = number.to_string();
+        history.begin(SERVICE, &attempt, "v1", second(30), second(20));
+    }
+    assert_eq!(history.origin(SERVICE, "later", &none, true), None);
+    let newest = history.origin(SERVICE, "19999", &none, true);
+    assert_eq!(newest.unwrap(), "v1");
+    let long = "x".repeat(1000);
+    history.begin(SERVICE, &long, "v1", second(30), second(20));
+    assert_eq!(history.origin(SERVICE, &long, &none, true), None);
+}
