--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -102,6 +102,7 @@
 mod relay;
 mod replica_index;
 mod report;
+mod runner_view;
 mod selection;
 mod server;
 mod stream_origin;
