--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -4,6 +4,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http;
+use strum::Display;
 
 use crate::delivery::Delivery;
 use crate::protocol::Verdict;
@@ -49,9 +50,24 @@
     pub(crate) body: Incoming,
 }
 
-/// Whether the end of the connection ends the body, so that a body that was broken off
-/// looks like a complete one.
-pub(crate) fn is_close_delimited(head: &http::response::Parts) -> bool {
-    let headers = &head.headers;
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+/// What delimits the body of a response.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Framing {
+    Length,
+    Chunks,
+    /// The end of the connection, so that a body that was broken off looks complete.
+    Connection,
+}
+
+impl From<&http::response::Parts> for Framing {
+    fn from(head: &http::response::Parts) -> Self {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if head.headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,10 +13,10 @@
 use crate::body::Body;
 use crate::error::Code;
 use crate::forward::millis;
-use crate::outcome::Stream;
+use crate::outcome::{Framing, Stream};
 use crate::registry::Runner;
 use crate::sse::{Scanner, Splitter};
-use crate::{Error, Result, crash_report, outcome};
+use crate::{Error, Result, crash_report};
 
 /// Number of chunks that are queued for a slow caller.
 const QUEUE: usize = 16;
@@ -47,6 +47,7 @@
         bytes: 0,
         received: 0,
         has_event: false,
+        framing: Framing::from(&stream.head),
         longest_gap: Duration::ZERO,
     };
     tracker.spawn(relay.run(stream));
@@ -80,7 +81,7 @@
     body: &mut Incoming,
 ) -> Result<Option<Bytes>> {
     let first = next(body).await?;
-    if first.is_none() && outcome::is_close_delimited(head) {
+    if first.is_none() && Framing::from(head) == Framing::Connection {
         return Err(Code::Broken("the connection ended before an event".to_owned()).into());
     }
     Ok(first)
@@ -98,6 +99,8 @@
     received: usize,
     /// Whether a runner has sent a whole event.
     has_event: bool,
+    /// What delimits the body of the current runner's response.
+    framing: Framing,
     /// Longest time between two chunks from the runners.
     longest_gap: Duration,
 }
@@ -124,11 +127,12 @@
     async fn relay_stream(&mut self, mut stream: Box<Stream>) -> End {
         let mut chunk = stream.first.take();
         self.received = 0;
+        self.framing = Framing::from(&stream.head);
         self.scanner = Scanner::default();
         let mut event_at = self.attempt.gateway.now();
         loop {
             let Some(bytes) = chunk else {
-                if outcome::is_close_delimited(&stream.head) && self.scanner.is_inside_event() {
+                if self.framing == Framing::Connection && self.scanner.is_inside_event() {
                     let error = Code::Broken("the connection ended inside an event".to_owned());
                     self.record_break(&stream, &error.into());
                     return End::Broken;
@@ -278,7 +282,7 @@
         let exchange = &self.attempt.exchange;
         let duration = self.attempt.gateway.now().saturating_sub(exchange.arrived);
         log::info!(
-            request = exchange.call.attempt.as_str(), outcome:% = end, bytes = self.bytes,
+            request = exchange.call.attempt.as_str(), outcome:% = end, framing:% = self.framing, bytes = self.bytes,
             duration_ms = millis(duration), longest_gap_ms = millis(self.longest_gap);
             "stream ended"
         );
