--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 //! ```
 
 pub mod adapter_step;
+pub mod body;
 pub mod budget;
 pub mod call;
 pub mod demand;
@@ -81,7 +82,6 @@
 mod adapters;
 mod attempt;
 mod authority;
-mod body;
 mod crash_report;
 mod delivery;
 mod discovery;
