A stream that ends inside an event is broken off, whatever frames its body

Cause: asked whether a stream ends inside an event only where the end of the connection delimits the body. Chunks or a length that end properly were believed, although the runner had broken off what they carry. Why it works: the end of the content decides, not the end of its framing. The rest follows as for every other break: resumed where the route allows that, else the caller's connection is closed inside the answer. Bodies of another media type are judged by their framing as before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::{Response, http};
 use strum::Display;
 use tokio::sync::mpsc;
@@ -18,6 +19,8 @@
 use crate::sse::{Scanner, Splitter};
 use crate::{Error, Result, crash_report};
 
+/// Media type of a body of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Number of chunks that are queued for a slow caller.
 const QUEUE: usize = 16;
 /// Time without the end of an event after which a stream that still sends bytes is
@@ -87,6 +90,16 @@
     Ok(first)
 }
 
+/// Whether the body consists of events. Other bodies are only checked if nothing but the
+/// connection delimits them.
+fn has_events(head: &http::response::Parts) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let media_type = content_type.and_then(|value| value.split(';').next());
+    media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
+        || Framing::from(head) == Framing::Connection
+}
+
 struct Relay {
     attempt: Attempt,
     /// Holds back incomplete events, on routes whose streams may be resumed at
@@ -132,8 +145,8 @@
         let mut event_at = self.attempt.gateway.now();
         loop {
             let Some(bytes) = chunk else {
-                if self.framing == Framing::Connection && self.scanner.is_inside_event() {
-                    let error = Code::Broken("the connection ended inside an event".to_owned());
+                if has_events(&stream.head) && self.scanner.is_inside_event() {
+                    let error = Code::Broken("the stream ended inside an event".to_owned());
                     self.record_break(&stream, &error.into());
                     return End::Broken;
                 }
