The end of a streamed body is sent, not taken from a sender that is gone

Cause: the end of the queue of chunks was the end of the body, so that silence of the relay and its word that the stream is complete looked the same to the HTTP library. Why it works: the relay sends Chunk::End after the last chunk; without it the body fails and the caller's connection is aborted, which is also logged. Ruled out: the same in the daemon's own relay, whose stream must end with its last event.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -8,15 +8,25 @@
 use tokio::sync::mpsc;
 
 use crate::Error;
+use crate::error::Code;
+
+/// A piece of a streamed body.
+#[derive(Debug)]
+pub enum Chunk {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
 
 /// A complete body or a stream of chunks.
 #[derive(Debug)]
 pub enum Body {
     /// All bytes; `None` if empty or already sent.
     Whole(Option<Bytes>),
-    /// Chunks. An error aborts the connection, so that the caller detects that the
-    /// response is incomplete.
-    Chunks(mpsc::Receiver<Result<Bytes, Error>>),
+    /// Chunks up to [`Chunk::End`]. An error, or a sender that is dropped before the end,
+    /// aborts the connection, so that the caller detects that the response is incomplete.
+    Chunks(mpsc::Receiver<Result<Chunk, Error>>),
 }
 
 impl From<Bytes> for Body {
@@ -35,9 +45,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Ok(Chunk::Data(bytes))) => Some(Ok(Frame::data(bytes))),
+                Some(Ok(Chunk::End)) => None,
+                Some(Err(error)) => Some(Err(error)),
+                None => {
+                    log::warn!("relay of a stream ended before the stream");
+                    let reason = "the relay ended before the stream".to_owned();
+                    Some(Err(Code::Broken(reason).into()))
+                }
+            }),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::attempt::Attempt;
-use crate::body::Body;
+use crate::body::{Body, Chunk};
 use crate::error::Code;
 use crate::forward::millis;
 use crate::outcome::{Framing, Stream};
@@ -106,7 +106,7 @@
     /// another runner.
     splitter: Option<Splitter>,
     scanner: Scanner,
-    chunks: mpsc::Sender<Result<Bytes>>,
+    chunks: mpsc::Sender<Result<Chunk>>,
     bytes: usize,
     /// Number of chunks that the current runner has sent.
     received: usize,
@@ -217,13 +217,13 @@
             return Ok(true);
         }
         self.bytes += bytes.len();
-        Ok(self.chunks.send(Ok(bytes)).await.is_ok())
+        Ok(self.chunks.send(Ok(Chunk::Data(bytes))).await.is_ok())
     }
 
     async fn complete(&mut self, stream: Stream) -> End {
         let rest = self.splitter.as_mut().map(Splitter::take_rest);
         if let Some(rest) = rest.filter(|rest| !rest.is_empty())
-            && self.chunks.send(Ok(rest)).await.is_err()
+            && self.chunks.send(Ok(Chunk::Data(rest))).await.is_err()
         {
             return End::CallerLeft;
         }
@@ -233,6 +233,8 @@
         }
         let body = &self.attempt.exchange.body;
         stream.delivery.complete(gateway, body, &stream.head);
+        // Fails if the caller needs no end, since it has the announced length.
+        let _ = self.chunks.send(Ok(Chunk::End)).await;
         End::Complete
     }
 
