A request that has crashed three runners is kept from the others

Cause: the quarantine followed shared parts of prompts only. Plain services have none, and the part that belongs to the request was left out; nothing knew the request as the same one. Change: a request has a fingerprint (method, host, path, query, caller, model, parts, body) and is suspected beside its parts; what is suspected is typed (Suspect), in messages too. A crash counts at once if the request was sent after the crash before, so that repeats within milliseconds count; runs that end together count once, and a run that responds to a later request has not ended. Crashes under one quarantined request count once against its parts. The request is looked at before its parts. Responses of any instance clear it as before. Tests of parts gained a caller's send time only. Ruled out: refusing on the parts alone; a gap of half a second for repeats of one request.

--- /dev/null
+++ b/crates/gateway/src/crash.rs
@@ -0,0 +1,95 @@
+//! Ends of runs of runners, and what may have caused them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::id;
+use crate::suspect::Suspect;
+
+/// Most suspects of one crash.
+const MAX_SUSPECTS: usize = 192;
+
+/// A run of a runner, which a restart ends: the runner's id and its start in milliseconds
+/// since the Unix epoch.
+pub type Run = (id::Runner, u64);
+
+/// The end of a run, as an instance saw it from one request that it broke.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The run that ended.
+    pub run: Run,
+    /// Time of the end.
+    pub at: Duration,
+    /// The request, and the shared parts of its prompt in their order.
+    pub suspicions: Vec<Suspicion>,
+}
+
+/// What may have ended a run.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    /// The request or a part of its prompt.
+    pub suspect: Suspect,
+    /// Time at which the request was sent to the runner.
+    pub sent_at: Duration,
+}
+
+/// The end of a run, from all reports of it.
+#[derive(Debug)]
+pub(crate) struct Crash {
+    pub(crate) at: Duration,
+    /// What it counts against, in the order of the reports.
+    pub(crate) suspicions: Vec<Suspicion>,
+    /// Suspects that runners have responded to.
+    dismissed: BTreeSet<Suspect>,
+    /// What is in quarantine for this crash.
+    pub(crate) explained_by: Option<Suspect>,
+    /// Whether the run has responded to a later request, so that it has not ended.
+    pub(crate) is_refuted: bool,
+}
+
+impl Crash {
+    pub(crate) fn new(at: Duration) -> Self {
+        Self {
+            at,
+            suspicions: Vec::new(),
+            dismissed: BTreeSet::new(),
+            explained_by: None,
+            is_refuted: false,
+        }
+    }
+
+    /// Counts against a suspect from now on; returns whether it did not before.
+    pub(crate) fn suspect(&mut self, suspicion: &Suspicion) -> bool {
+        let known = self
+            .suspicions
+            .iter_mut()
+            .find(|known| known.suspect == suspicion.suspect);
+        if let Some(known) = known {
+            known.sent_at = known.sent_at.max(suspicion.sent_at);
+            return false;
+        }
+        let is_new =
+            self.suspicions.len() < MAX_SUSPECTS && !self.dismissed.contains(&suspicion.suspect);
+        if is_new {
+            self.suspicions.push(suspicion.clone());
+        }
+        is_new
+    }
+
+    /// No longer counts against a suspect that a runner has responded to.
+    pub(crate) fn dismiss(&mut self, suspect: &Suspect) {
+        let before = self.suspicions.len();
+        self.suspicions.retain(|known| known.suspect != *suspect);
+        if self.suspicions.len() < before {
+            self.dismissed.insert(suspect.clone());
+        }
+    }
+
+    /// Returns when the request with a suspect was sent to the run, if the crash counts
+    /// against it.
+    pub(crate) fn sent_at(&self, suspect: &Suspect) -> Option<Duration> {
+        let mut suspicions = self.suspicions.iter();
+        let suspicion = suspicions.find(|known| known.suspect == *suspect);
+        suspicion.map(|suspicion| suspicion.sent_at)
+    }
+}
--- a/crates/gateway/src/crash_report.rs
+++ b/crates/gateway/src/crash_report.rs
@@ -1,91 +1,140 @@
-//! Reports crashes of runners and responses to prompt parts to the quarantine and to the
-//! other instances.
+//! Reports crashes of runners and their responses to the quarantine and to the other
+//! instances.
+
+use std::time::Duration;
 
 use almondbank_wire::mesh;
 
+use crate::crash::{Report, Run, Suspicion};
 use crate::exchange::Exchange;
 use crate::fanout::Origin;
 use crate::gateway::Gateway;
-use crate::quarantine::Change;
+use crate::quarantine::{self, Change};
+use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
+use crate::suspect::Suspect;
 
-/// Reports that the connection to `runner` broke before it responded to the request.
-pub(crate) fn report_crash(gateway: &Gateway, exchange: &Exchange, runner: &Runner) {
-    let parts = exchange.call.shared_parts();
-    if exchange.engine().is_none() || parts.is_empty() {
-        return;
+/// How far a runner had come with a request when its connection broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Progress {
+    /// It had not begun to respond.
+    None,
+    /// It had responded with a part of a stream.
+    Stream,
+}
+
+/// Returns the refusal of a request that crashes runners, or that has a prompt part which
+/// does.
+pub(crate) fn refusal(gateway: &Gateway, exchange: &Exchange, now: Duration) -> Option<Refusal> {
+    if gateway.quarantine.is_empty() {
+        return None;
+    }
+    let mut suspects = vec![exchange.as_suspect()];
+    suspects.extend(exchange.suspected_parts());
+    let (suspect, remaining) = gateway.quarantine.remaining(&suspects, now)?;
+    let reason = match suspect {
+        Suspect::Request(_) => Reason::CrashingRequest,
+        Suspect::Part(_) => Reason::CrashingPart,
+    };
+    Some(Refusal::new(reason).with_retry_after(remaining))
+}
+
+/// Reports that the connection to `runner` broke before it had responded to the request,
+/// which was sent at `sent_at`.
+pub(crate) fn report_crash(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    runner: &Runner,
+    sent_at: Duration,
+    progress: Progress,
+) {
+    let mut suspects = vec![exchange.as_suspect()];
+    if progress == Progress::None {
+        suspects.extend(exchange.suspected_parts());
     }
-    let born_ms = runner.registration.born_ms;
     let now = gateway.now();
-    let change = gateway
-        .quarantine
-        .record_crash(&parts, runner.id(), born_ms, now);
+    log::info!(
+        request = exchange.call.attempt.as_str(), runner = runner.id().as_str(),
+        born_ms = runner.registration.born_ms, suspects:? = suspects;
+        "runner may have crashed"
+    );
+    let suspicion = |suspect| Suspicion { suspect, sent_at };
+    let report = Report {
+        run: run(runner),
+        at: now,
+        suspicions: suspects.into_iter().map(suspicion).collect(),
+    };
+    let change = gateway.quarantine.record_crash(&report, now);
     log_change(&change, &gateway.settings.instance);
     if change.is_new {
-        let crash = mesh::Crash {
-            runner: runner.id().clone(),
-            born_ms,
-            age_ms: 0,
-            parts: parts.iter().map(|part| (*part).to_owned()).collect(),
-        };
+        let crash = quarantine::message(&report.run, now, &report.suspicions, now);
         let quarantine = mesh::Quarantine {
             crashes: vec![crash],
-            crashing: Vec::new(),
-            sound: Vec::new(),
+            ..mesh::Quarantine::default()
         };
         gateway.broadcast(mesh::Message::Quarantine(quarantine), Origin::Own);
     }
-    announce(gateway, change);
+    announce(gateway, &change);
 }
 
-/// Reports that a runner responded to the request.
-pub(crate) fn report_response(gateway: &Gateway, exchange: &Exchange) {
-    if exchange.engine().is_none() {
-        return;
+/// Reports that `runner` responded to the request, which was sent at `sent_at`.
+pub(crate) fn report_response(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    runner: &Runner,
+    sent_at: Duration,
+) {
+    let mut suspects: Vec<_> = exchange.suspected_parts().collect();
+    if gateway.quarantine.suspects_requests() {
+        suspects.push(exchange.as_suspect());
     }
-    let parts = exchange.call.shared_parts();
-    let change = gateway.quarantine.record_response(&parts, gateway.now());
-    announce(gateway, change);
+    let now = gateway.now();
+    let change = gateway
+        .quarantine
+        .record_response(&run(runner), &suspects, sent_at, now);
+    announce(gateway, &change);
 }
 
 /// Merges what a peer knows; returns whether it is new to this instance.
 pub(crate) fn receive(gateway: &Gateway, peer: &str, quarantine: &mesh::Quarantine) -> bool {
     let change = gateway.quarantine.merge(quarantine, gateway.now());
     log_change(&change, peer);
-    let is_new = change.is_new;
     // The instance that saw the crash announces what it has quarantined.
-    announce(
-        gateway,
-        Change {
-            quarantined: Vec::new(),
-            ..change
-        },
-    );
-    is_new
+    let announced = Change {
+        quarantined: Vec::new(),
+        ..change
+    };
+    announce(gateway, &announced);
+    announced.is_new
+}
+
+fn run(runner: &Runner) -> Run {
+    (runner.id().clone(), runner.registration.born_ms)
 }
 
-// Tells the other instances which parts this one has quarantined or found to be sound.
-// They may have missed the crashes, or not seen the responses.
-fn announce(gateway: &Gateway, change: Change) {
+// Tells the other instances what this one has quarantined or found to be sound. They may
+// have missed the crashes, or not seen the responses.
+fn announce(gateway: &Gateway, change: &Change) {
     if change.quarantined.is_empty() && change.sound.is_empty() {
         return;
     }
-    for part in &change.sound {
-        log::warn!(part = part.as_str(); "prompt part is sound: a runner responded to it");
+    for suspect in &change.sound {
+        log::warn!(suspect:? = suspect; "no longer quarantined: a runner responded to it");
     }
-    let crashing = change.quarantined.into_iter();
+    let crashing = change.quarantined.iter().map(|suspect| mesh::Crashing {
+        suspect: suspect.into(),
+        age_ms: 0,
+    });
     let quarantine = mesh::Quarantine {
         crashes: Vec::new(),
-        crashing: crashing
-            .map(|part| mesh::CrashingPart { part, age_ms: 0 })
-            .collect(),
-        sound: change.sound,
+        crashing: crashing.collect(),
+        sound: change.sound.iter().map(mesh::Suspect::from).collect(),
     };
     gateway.broadcast(mesh::Message::Quarantine(quarantine), Origin::Own);
 }
 
 fn log_change(change: &Change, source: &str) {
-    for part in &change.quarantined {
-        log::warn!(part = part.as_str(), source; "prompt part quarantined: it crashes runners");
+    for suspect in &change.quarantined {
+        log::warn!(suspect:? = suspect, source; "quarantined: it crashes runners");
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A caller's request in progress.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,9 +8,10 @@
 
 use crate::call::{Block, Call};
 use crate::environment::Environment;
-use crate::id;
 use crate::route::Route;
 use crate::service::{Engine, Service};
+use crate::suspect::Suspect;
+use crate::{fingerprint, id};
 
 /// Fraction of its time limit that a request may wait for a replica. The rest is
 /// reserved for the response to reach the caller before it leaves.
@@ -29,6 +30,8 @@
     pub(crate) arrived: Duration,
     /// Time at which the caller's or the route's timeout expires.
     pub(crate) deadline: Duration,
+    /// Computed when it is first asked for.
+    pub(crate) fingerprint: OnceLock<id::Fingerprint>,
 }
 
 impl Exchange {
@@ -57,6 +60,21 @@
         self.service()?.engine.as_ref()
     }
 
+    /// The request as what may crash a runner.
+    pub(crate) fn as_suspect(&self) -> Suspect {
+        let compute = || fingerprint::of(&self.head, &self.call, &self.body);
+        Suspect::Request(self.fingerprint.get_or_init(compute).clone())
+    }
+
+    /// The shared parts of the prompt as what may crash a runner, in their order.
+    pub(crate) fn suspected_parts(&self) -> impl Iterator<Item = Suspect> + '_ {
+        let parts = match self.engine() {
+            Some(_) => self.call.shared_parts(),
+            None => Vec::new(),
+        };
+        parts.into_iter().map(|part| Suspect::Part(part.to_owned()))
+    }
+
     /// Maximum number of tokens that the request takes up in the KV cache of a runner.
     pub(crate) fn tokens(&self) -> u64 {
         self.call.prompt_tokens + self.call.max_output_tokens
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Receives requests of callers and returns the responses.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
@@ -81,6 +81,7 @@
         service,
         arrived,
         deadline,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -82,7 +82,7 @@
     pub(crate) in_flight: Arc<Tracker>,
     pub(crate) prefixes: Index,
     pub(crate) health: Arc<Health>,
-    /// Prompt parts that crash runners.
+    /// Requests and prompt parts that crash runners.
     pub(crate) quarantine: quarantine::Tracker,
     /// Limits that runners have named.
     pub(crate) limits: runner_limit::Limiter,
--- a/crates/gateway/src/id.rs
+++ b/crates/gateway/src/id.rs
@@ -6,6 +6,8 @@
 pub type Service = String;
 /// Id of one request, as sent by the caller.
 pub type Attempt = String;
+/// Digest of what a request asks for, whichever attempt it is.
+pub type Fingerprint = String;
 /// Version of the software of a runner; versions have no order.
 pub type Software = String;
 /// Id of one part of a prompt.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,9 +1,9 @@
-//! Detects prompt parts that crash runners, and keeps requests with them from the runners.
+//! Detects requests and prompt parts that crash runners, and keeps them from the runners.
 //!
-//! When a run of a runner ends, each shared part of the requests that it had not begun to
-//! respond to is suspected. A part that runs of runners ended with several times, and that
-//! no runner responded to meanwhile, is quarantined. The instances exchange the crashes,
-//! since the requests with one part arrive at all of them.
+//! When a run of a runner ends, each request that it broke is suspected, and each shared
+//! part of the prompts that it had not begun to respond to. What runs of runners ended with
+//! several times, and no runner responded to meanwhile, is quarantined. The instances
+//! exchange the crashes, since a request comes again at any of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -11,30 +11,34 @@
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
 
+use crate::crash::{Crash, Report, Run, Suspicion};
 use crate::forward::millis;
-use crate::id;
+use crate::suspect::Suspect;
 
-/// Crashes after which a part is quarantined.
+/// Crashes after which a suspect is quarantined.
 const MIN_CRASHES: usize = 3;
-/// Shortest time between two crashes that both count against a part. Runners that fail at
-/// the same time have another cause in common.
+/// Shortest time between two crashes that both count, unless the request was sent after the
+/// first of them. Runners that fail at the same time have another cause in common.
 const MIN_CRASH_GAP: Duration = Duration::from_millis(500);
-/// Time for which a crash counts.
-const CRASH_TTL: Duration = Duration::from_mins(1);
-/// Time after its last crash for which a part is quarantined.
+/// Time by which the order of a crash and a send may be mistaken, if different instances saw
+/// them.
+const ORDER_TOLERANCE: Duration = Duration::from_millis(5);
+/// Time for which a crash counts against a part.
+const PART_CRASH_TTL: Duration = Duration::from_mins(1);
+/// Time for which a crash counts against a request.
+const CRASH_TTL: Duration = Duration::from_mins(10);
+/// Time after its last crash for which a suspect is quarantined.
 const QUARANTINE_TTL: Duration = Duration::from_mins(10);
-/// Time after a response to a part in which crashes do not count against it.
+/// Time after a response to a suspect in which crashes do not count against it.
 const SOUND_TTL: Duration = Duration::from_secs(2);
 /// Most crashes that are kept; the oldest makes room.
 const MAX_CRASHES: usize = 256;
-/// Most parts that one crash counts against.
-const MAX_SUSPECTS: usize = 64;
-/// Most parts in quarantine; the one whose last crash is the oldest makes room.
+/// Most suspects in quarantine; the one whose last crash is the oldest makes room.
 const MAX_QUARANTINED: usize = 1024;
-/// Most parts of which recent responses are kept.
+/// Most suspects of which recent responses are kept.
 const MAX_SOUND: usize = 4096;
 
-/// Crashes of runners and the parts that are quarantined for them.
+/// Crashes of runners and what is quarantined for them.
 #[derive(Debug, Default)]
 pub struct Tracker {
     inner: Mutex<Inner>,
@@ -45,102 +49,107 @@
 pub struct Change {
     /// Whether it learned anything that other instances may not know.
     pub is_new: bool,
-    /// Parts that are quarantined from now on.
-    pub quarantined: Vec<id::Part>,
-    /// Parts that runners respond to although an instance has quarantined them.
-    pub sound: Vec<id::Part>,
+    /// What is quarantined from now on.
+    pub quarantined: Vec<Suspect>,
+    /// What runners respond to although an instance has quarantined it.
+    pub sound: Vec<Suspect>,
 }
 
-/// A run of a runner, which a restart ends.
-type Run = (id::Runner, u64);
-
 #[derive(Debug, Default)]
 struct Inner {
     crashes: BTreeMap<Run, Crash>,
-    /// Parts in quarantine, with the time of their last crash.
-    quarantined: BTreeMap<id::Part, Duration>,
-    /// Parts that a runner responded to lately, with the time.
-    sound: BTreeMap<id::Part, Duration>,
-}
-
-#[derive(Debug)]
-struct Crash {
-    at: Duration,
-    /// Parts that it counts against, in the order of the prompts.
-    suspects: Vec<id::Part>,
-    /// Parts that were found to be sound.
-    dismissed: BTreeSet<id::Part>,
-    /// Whether a part in quarantine explains it.
-    is_explained: bool,
+    /// What is in quarantine, with the time of its last crash.
+    quarantined: BTreeMap<Suspect, Duration>,
+    /// What a runner responded to lately, with the time.
+    sound: BTreeMap<Suspect, Duration>,
+    /// Whether a request is suspected or in quarantine, as of the last change or expiry.
+    suspects_requests: bool,
 }
 
 impl Tracker {
-    /// Returns the time for which the first part in quarantine, if any of `parts` is, is
-    /// not sent to runners.
+    /// Whether nothing is in quarantine.
     #[must_use]
-    pub fn remaining(&self, parts: &[&str], now: Duration) -> Option<Duration> {
-        let inner = self.inner.lock();
-        if inner.quarantined.is_empty() {
-            return None;
-        }
-        let times = parts.iter().filter_map(|part| inner.quarantined.get(*part));
-        times
-            .map(|at| (*at + QUARANTINE_TTL).saturating_sub(now))
-            .find(|left| !left.is_zero())
+    pub fn is_empty(&self) -> bool {
+        self.inner.lock().quarantined.is_empty()
     }
 
-    /// Records that the run of `runner` that started at `born_ms` ended before it responded
-    /// to a request with the shared `parts`.
-    pub fn record_crash(
+    /// Whether any request is suspected or in quarantine, so that responses to requests
+    /// matter.
+    #[must_use]
+    pub fn suspects_requests(&self) -> bool {
+        self.inner.lock().suspects_requests
+    }
+
+    /// Returns the first of `suspects` that is in quarantine, if any is, with the time for
+    /// which it is not sent to runners.
+    #[must_use]
+    pub fn remaining<'a>(
         &self,
-        parts: &[&str],
-        runner: &str,
-        born_ms: u64,
+        suspects: &'a [Suspect],
         now: Duration,
-    ) -> Change {
-        let crash = mesh::Crash {
-            runner: runner.to_owned(),
-            born_ms,
-            age_ms: 0,
-            parts: parts.iter().map(|part| (*part).to_owned()).collect(),
-        };
+    ) -> Option<(&'a Suspect, Duration)> {
+        let inner = self.inner.lock();
+        suspects.iter().find_map(|suspect| {
+            let last = inner.quarantined.get(suspect)?;
+            let left = (*last + QUARANTINE_TTL).saturating_sub(now);
+            (!left.is_zero()).then_some((suspect, left))
+        })
+    }
+
+    /// Records that a run of a runner ended before it had responded to a request.
+    pub fn record_crash(&self, report: &Report, now: Duration) -> Change {
         let mut change = Change::default();
-        self.inner.lock().add_crash(&crash, now, &mut change);
+        self.inner.lock().add_crash(report, now, &mut change);
         change
     }
 
-    /// Records that a runner responded to a request with the shared `parts`.
-    pub fn record_response(&self, parts: &[&str], now: Duration) -> Change {
+    /// Records that a run of a runner responded to a request with `suspects` that was sent
+    /// at `sent_at`.
+    pub fn record_response(
+        &self,
+        run: &Run,
+        suspects: &[Suspect],
+        sent_at: Duration,
+        now: Duration,
+    ) -> Change {
         let mut inner = self.inner.lock();
         let mut change = Change::default();
-        for part in parts {
-            if inner.dismiss(part, now) {
+        if let Some(crash) = inner.crashes.get_mut(run) {
+            crash.is_refuted |= sent_at > crash.at;
+        }
+        for suspect in suspects {
+            if inner.dismiss(suspect, now) {
                 change.is_new = true;
-                change.sound.push((*part).to_owned());
+                change.sound.push(suspect.clone());
             }
         }
         change
     }
 
-    /// Merges what another instance knows.
+    /// Merges what another instance knows. What is malformed is left out.
     pub fn merge(&self, quarantine: &mesh::Quarantine, now: Duration) -> Change {
         let mut inner = self.inner.lock();
         let mut change = Change::default();
         for crash in &quarantine.crashes {
-            inner.add_crash(crash, now, &mut change);
+            inner.add_crash(&report(crash, now), now, &mut change);
         }
         for crashing in &quarantine.crashing {
+            let Ok(suspect) = Suspect::try_from(&crashing.suspect) else {
+                continue;
+            };
             let at = now.saturating_sub(Duration::from_millis(crashing.age_ms));
-            if inner.is_sound(&crashing.part, at) {
-                change.sound.push(crashing.part.clone());
-            } else if !inner.quarantined.contains_key(&crashing.part) {
-                inner.quarantine(&crashing.part, at);
+            if inner.is_sound(&suspect, at) {
+                change.sound.push(suspect);
+            } else if !inner.quarantined.contains_key(&suspect) {
+                inner.quarantine(&suspect, at);
                 change.is_new = true;
-                change.quarantined.push(crashing.part.clone());
+                change.quarantined.push(suspect);
             }
         }
-        for part in &quarantine.sound {
-            change.is_new |= inner.dismiss(part, now);
+        for suspect in &quarantine.sound {
+            if let Ok(suspect) = Suspect::try_from(suspect) {
+                change.is_new |= inner.dismiss(&suspect, now);
+            }
         }
         change
     }
@@ -150,24 +159,18 @@
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Option<mesh::Quarantine> {
         let inner = self.inner.lock();
-        let age_ms = |at: Duration| millis(now.saturating_sub(at));
-        let crashes = inner
+        let open = inner
             .crashes
             .iter()
-            .filter(|(_, crash)| !crash.is_explained);
-        let crashes: Vec<_> = crashes
-            .map(|((runner, born_ms), crash)| mesh::Crash {
-                runner: runner.clone(),
-                born_ms: *born_ms,
-                age_ms: age_ms(crash.at),
-                parts: crash.suspects.clone(),
-            })
+            .filter(|(_, crash)| crash.explained_by.is_none() && !crash.is_refuted);
+        let crashes: Vec<_> = open
+            .map(|(run, crash)| message(run, crash.at, &crash.suspicions, now))
             .collect();
         let crashing = inner.quarantined.iter();
         let crashing: Vec<_> = crashing
-            .map(|(part, at)| mesh::CrashingPart {
-                part: part.clone(),
-                age_ms: age_ms(*at),
+            .map(|(suspect, at)| mesh::Crashing {
+                suspect: suspect.into(),
+                age_ms: millis(now.saturating_sub(*at)),
             })
             .collect();
         let is_empty = crashes.is_empty() && crashing.is_empty();
@@ -189,126 +192,173 @@
             .quarantined
             .retain(|_, at| is_recent(*at, QUARANTINE_TTL));
         inner.sound.retain(|_, at| is_recent(*at, SOUND_TTL));
+        inner.suspects_requests = inner.find_request();
+    }
+}
+
+/// Returns the message with which an instance tells others of a crash.
+pub(crate) fn message(
+    run: &Run,
+    at: Duration,
+    suspicions: &[Suspicion],
+    now: Duration,
+) -> mesh::Crash {
+    let suspicions = suspicions.iter().map(|suspicion| mesh::Suspicion {
+        suspect: (&suspicion.suspect).into(),
+        held_ms: millis(at.saturating_sub(suspicion.sent_at)),
+    });
+    mesh::Crash {
+        runner: run.0.clone(),
+        born_ms: run.1,
+        age_ms: millis(now.saturating_sub(at)),
+        suspicions: suspicions.collect(),
+    }
+}
+
+fn report(crash: &mesh::Crash, now: Duration) -> Report {
+    let at = now.saturating_sub(Duration::from_millis(crash.age_ms));
+    let suspicions = crash.suspicions.iter().filter_map(|suspicion| {
+        Some(Suspicion {
+            suspect: Suspect::try_from(&suspicion.suspect).ok()?,
+            sent_at: at.saturating_sub(Duration::from_millis(suspicion.held_ms)),
+        })
+    });
+    Report {
+        run: (crash.runner.clone(), crash.born_ms),
+        at,
+        suspicions: suspicions.collect(),
     }
 }
 
 impl Inner {
-    fn add_crash(&mut self, crash: &mesh::Crash, now: Duration, change: &mut Change) {
-        let at = now.saturating_sub(Duration::from_millis(crash.age_ms));
+    fn find_request(&self) -> bool {
+        self.quarantined.keys().any(Suspect::is_request)
+            || self.crashes.values().any(|crash| {
+                let mut suspicions = crash.suspicions.iter();
+                suspicions.any(|suspicion| suspicion.suspect.is_request())
+            })
+    }
+
+    fn add_crash(&mut self, report: &Report, now: Duration, change: &mut Change) {
+        let at = report.at;
         if now.saturating_sub(at) >= CRASH_TTL {
             return;
         }
-        let run = (crash.runner.clone(), crash.born_ms);
-        if let Some(part) = crash
-            .parts
-            .iter()
-            .find(|part| self.quarantined.contains_key(*part))
-        {
-            let last = self.quarantined.entry(part.clone()).or_insert(at);
+        let suspects = || report.suspicions.iter().map(|known| &known.suspect);
+        if let Some(suspect) = suspects().find(|suspect| self.quarantined.contains_key(suspect)) {
+            let last = self.quarantined.entry(suspect.clone()).or_insert(at);
             *last = at.max(*last);
-            self.explain(run, at);
+            self.explain(report.run.clone(), at, suspect.clone());
             return;
         }
-        let suspects: Vec<_> = crash
-            .parts
+        let counted: Vec<_> = report
+            .suspicions
             .iter()
-            .filter(|part| !self.is_sound(part, at))
+            .filter(|suspicion| !self.is_sound(&suspicion.suspect, at))
             .collect();
-        make_room(&mut self.crashes, MAX_CRASHES, &run, |crash| crash.at);
-        let known = self.crashes.entry(run).or_insert_with(|| Crash::new(at));
-        for part in suspects {
-            change.is_new |= known.suspect(part);
+        make_room(&mut self.crashes, MAX_CRASHES, &report.run, |crash| {
+            crash.at
+        });
+        let known = self.crashes.entry(report.run.clone());
+        let known = known.or_insert_with(|| Crash::new(at));
+        for suspicion in counted {
+            change.is_new |= known.suspect(suspicion);
+            self.suspects_requests |= suspicion.suspect.is_request();
         }
-        // Later parts are shared by fewer requests, so that they explain a crash better.
-        for part in crash.parts.iter().rev() {
-            if self.crash_count(part) >= MIN_CRASHES {
-                self.quarantine(part, at);
-                change.quarantined.push(part.clone());
-                return;
-            }
+        // A request explains a crash better than its parts, and later parts, which fewer
+        // requests share, better than earlier ones.
+        let requests = suspects().filter(|suspect| suspect.is_request());
+        let parts = suspects().rev().filter(|suspect| !suspect.is_request());
+        let mut by_weight = requests.chain(parts);
+        if let Some(suspect) =
+            by_weight.find(|suspect| self.crash_count(suspect, at) >= MIN_CRASHES)
+        {
+            self.quarantine(suspect, at);
+            change.quarantined.push(suspect.clone());
         }
     }
 
-    // Number of crashes that count against a part.
-    fn crash_count(&self, part: &str) -> usize {
-        let crashes = self.crashes.values().filter(|crash| {
-            !crash.is_explained && crash.suspects.iter().any(|suspect| suspect == part)
-        });
-        let mut times: Vec<_> = crashes.map(|crash| crash.at).collect();
-        times.sort_unstable();
-        let mut count = 0;
-        let mut last = None;
-        for at in times {
-            if last.is_none_or(|last| at >= last + MIN_CRASH_GAP) {
-                count += 1;
-                last = Some(at);
+    // Number of crashes until `now` that count against a suspect.
+    fn crash_count(&self, suspect: &Suspect, now: Duration) -> usize {
+        let ttl = match suspect {
+            Suspect::Request(_) => CRASH_TTL,
+            Suspect::Part(_) => PART_CRASH_TTL,
+        };
+        let mut requests = BTreeSet::new();
+        let mut open = Vec::new();
+        for crash in self.crashes.values() {
+            let Some(sent_at) = crash.sent_at(suspect) else {
+                continue;
+            };
+            if crash.is_refuted || now.saturating_sub(crash.at) >= ttl {
+                continue;
+            }
+            match &crash.explained_by {
+                // Requests with one part may be sent while runners fail for another cause.
+                None => open.push((crash.at, suspect.is_request().then_some(sent_at))),
+                Some(Suspect::Request(request)) => {
+                    requests.insert(request);
+                }
+                Some(Suspect::Part(_)) => {}
             }
         }
-        count
+        // However often a request that crashes runners comes, it is one reason to suspect
+        // its parts.
+        count_independent(open) + requests.len()
     }
 
-    // The crashes that the part explains no longer count against others.
-    fn quarantine(&mut self, part: &str, at: Duration) {
-        let owned = part.to_owned();
-        make_room(&mut self.quarantined, MAX_QUARANTINED, &owned, |at| *at);
-        self.quarantined.insert(owned, at);
+    // What the suspect explains no longer counts against others.
+    fn quarantine(&mut self, suspect: &Suspect, at: Duration) {
+        make_room(&mut self.quarantined, MAX_QUARANTINED, suspect, |at| *at);
+        self.quarantined.insert(suspect.clone(), at);
+        self.suspects_requests |= suspect.is_request();
         for crash in self.crashes.values_mut() {
-            crash.is_explained |= crash.suspects.iter().any(|suspect| suspect == part);
+            if crash.explained_by.is_none() && crash.sent_at(suspect).is_some() {
+                crash.explained_by = Some(suspect.clone());
+            }
         }
     }
 
-    fn explain(&mut self, run: Run, at: Duration) {
+    fn explain(&mut self, run: Run, at: Duration, suspect: Suspect) {
         make_room(&mut self.crashes, MAX_CRASHES, &run, |crash| crash.at);
         let crash = self.crashes.entry(run).or_insert_with(|| Crash::new(at));
-        crash.is_explained = true;
+        crash.explained_by = Some(suspect);
     }
 
-    // Whether a runner responded to the part shortly before `at` or later.
-    fn is_sound(&self, part: &str, at: Duration) -> bool {
-        let sound_at = self.sound.get(part);
+    // Whether a runner responded to the suspect shortly before `at` or later.
+    fn is_sound(&self, suspect: &Suspect, at: Duration) -> bool {
+        let sound_at = self.sound.get(suspect);
         sound_at.is_some_and(|sound_at| at < *sound_at + SOUND_TTL)
     }
 
-    // Records a response to a part; returns whether the part was in quarantine.
-    fn dismiss(&mut self, part: &str, now: Duration) -> bool {
-        let owned = part.to_owned();
-        make_room(&mut self.sound, MAX_SOUND, &owned, |at| *at);
-        self.sound.insert(owned, now);
+    // Records a response to a suspect; returns whether it was in quarantine.
+    fn dismiss(&mut self, suspect: &Suspect, now: Duration) -> bool {
+        make_room(&mut self.sound, MAX_SOUND, suspect, |at| *at);
+        self.sound.insert(suspect.clone(), now);
         for crash in self.crashes.values_mut() {
-            crash.dismiss(part);
+            crash.dismiss(suspect);
         }
-        self.quarantined.remove(part).is_some()
+        self.quarantined.remove(suspect).is_some()
     }
 }
 
-impl Crash {
-    fn new(at: Duration) -> Self {
-        Self {
-            at,
-            suspects: Vec::new(),
-            dismissed: BTreeSet::new(),
-            is_explained: false,
-        }
-    }
-
-    // Counts against a part from now on; returns whether it did not before.
-    fn suspect(&mut self, part: &id::Part) -> bool {
-        let is_new = self.suspects.len() < MAX_SUSPECTS
-            && !self.suspects.contains(part)
-            && !self.dismissed.contains(part);
-        if is_new {
-            self.suspects.push(part.clone());
-        }
-        is_new
-    }
-
-    fn dismiss(&mut self, part: &str) {
-        let suspects = self.suspects.len();
-        self.suspects.retain(|suspect| suspect != part);
-        if self.suspects.len() < suspects {
-            self.dismissed.insert(part.to_owned());
+// Counts crashes that do not have one cause in common: the crash before was some time ago, or
+// the request was sent after it, if the time of the send is given.
+fn count_independent(mut crashes: Vec<(Duration, Option<Duration>)>) -> usize {
+    crashes.sort_unstable();
+    let mut count = 0;
+    let mut last: Option<Duration> = None;
+    for (at, sent_at) in crashes {
+        let is_independent = last.is_none_or(|last| {
+            at >= last + MIN_CRASH_GAP
+                || sent_at.is_some_and(|sent_at| sent_at + ORDER_TOLERANCE >= last)
+        });
+        if is_independent {
+            count += 1;
+            last = Some(at);
         }
     }
+    count
 }
 
 // Removes the oldest entry of a full map, to which `key` is about to be added.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     NoSoftware,
     /// The deadline passed before the request was sent to a runner.
     Expired,
+    /// The request crashes runners.
+    CrashingRequest,
     /// A part of the prompt crashes runners.
     CrashingPart,
     /// The retry budget is used up, and the request has not run.
@@ -89,6 +91,7 @@
             | Self::UnknownOrigin
             | Self::NoSoftware
             | Self::Expired
+            | Self::CrashingRequest
             | Self::CrashingPart
             | Self::NoRetry => 503,
             Self::Broken | Self::BadAnswer => 502,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::Attempt;
 use crate::body::{Body, Chunk};
+use crate::crash_report::Progress;
 use crate::error::Code;
 use crate::forward::millis;
 use crate::outcome::{Framing, Stream};
@@ -229,7 +230,9 @@
         }
         let gateway = &self.attempt.gateway;
         if self.has_event {
-            crash_report::report_response(gateway, &self.attempt.exchange);
+            let delivery = &stream.delivery;
+            let (runner, sent_at) = (&delivery.chosen.runner, delivery.sent_at);
+            crash_report::report_response(gateway, &self.attempt.exchange, runner, sent_at);
         }
         let body = &self.attempt.exchange.body;
         stream.delivery.complete(gateway, body, &stream.head);
@@ -287,10 +290,14 @@
         );
         let gateway = &self.attempt.gateway;
         gateway.health.record_failure(runner, gateway.now());
-        if self.received <= 1 {
-            let exchange = &self.attempt.exchange;
-            crash_report::report_crash(gateway, exchange, &stream.delivery.chosen.runner);
-        }
+        let progress = match self.received {
+            0 | 1 => Progress::None,
+            _ => Progress::Stream,
+        };
+        let exchange = &self.attempt.exchange;
+        let delivery = &stream.delivery;
+        let (runner, sent_at) = (&delivery.chosen.runner, delivery.sent_at);
+        crash_report::report_crash(gateway, exchange, runner, sent_at, progress);
     }
 
     fn log_end(&self, end: End) {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,11 +7,11 @@
 use crate::call::Target;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
-use crate::id;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::scoring::{self, Candidate, Request};
 use crate::service::Engine;
+use crate::{crash_report, id};
 
 /// Time beyond the duration of a load until a replica accepts requests.
 const LOAD_SLACK: Duration = Duration::from_millis(800);
@@ -74,10 +74,8 @@
     if exchange.remaining(now) <= MIN_REMAINING {
         return Selection::Refuse(Refusal::new(Reason::Expired));
     }
-    let parts = exchange.call.shared_parts();
-    if let Some(remaining) = gateway.quarantine.remaining(&parts, now) {
-        let refusal = Refusal::new(Reason::CrashingPart);
-        return Selection::Refuse(refusal.with_retry_after(remaining));
+    if let Some(refusal) = crash_report::refusal(gateway, exchange, now) {
+        return Selection::Refuse(refusal);
     }
     let registry = &gateway.registry;
     if !registry.has_usable(&exchange.service, now) {
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, http};
 use tokio::time;
 
+use crate::crash_report::Progress;
 use crate::delivery::Delivery;
 use crate::exchange::Exchange;
 use crate::forward::millis;
@@ -17,6 +18,7 @@
 use crate::pool::Failure;
 use crate::protocol::{Dispatch, Verdict};
 use crate::refusal::Reason;
+use crate::registry::Runner;
 use crate::route::Kind;
 use crate::runner_limit::{Change, Named};
 use crate::selection::Chosen;
@@ -99,7 +101,7 @@
                     "connection to the runner failed before a response"
                 );
                 gateway.health.record_failure(&runner, gateway.now());
-                crash_report::report_crash(gateway, exchange, &chosen.runner);
+                self.report_crash(&chosen.runner, sent_at);
                 return Outcome::Unknown(Reason::Broken);
             }
         };
@@ -226,11 +228,12 @@
                     "failed to read the response body"
                 );
                 gateway.health.record_failure(&runner, gateway.now());
-                crash_report::report_crash(gateway, self.exchange, &delivery.chosen.runner);
+                self.report_crash(&delivery.chosen.runner, delivery.sent_at);
                 return Outcome::Unknown(Reason::Broken);
             }
         };
         delivery.guard.start_decoding();
+        let (answering, sent_at) = (delivery.chosen.runner.clone(), delivery.sent_at);
         delivery.complete(gateway, &self.exchange.body, &head);
         let status = head.status;
         let response = Response::Complete(Box::new(head), bytes);
@@ -239,7 +242,7 @@
         }
         self.log_response(&runner, status.as_u16());
         gateway.health.record_success(&runner);
-        crash_report::report_response(gateway, self.exchange);
+        crash_report::report_response(gateway, self.exchange, &answering, sent_at);
         Outcome::Final(response)
     }
 
@@ -274,7 +277,7 @@
                 self.gateway
                     .health
                     .record_failure(&runner, self.gateway.now());
-                crash_report::report_crash(self.gateway, self.exchange, &delivery.chosen.runner);
+                self.report_crash(&delivery.chosen.runner, delivery.sent_at);
                 Outcome::Unknown(Reason::Broken)
             }
         }
@@ -289,6 +292,11 @@
         }
     }
 
+    fn report_crash(&self, runner: &Runner, sent_at: Duration) {
+        let progress = Progress::None;
+        crash_report::report_crash(self.gateway, self.exchange, runner, sent_at, progress);
+    }
+
     /// Counts and logs a response that is returned to the caller.
     pub(crate) fn log_response(&self, runner: &str, status: u16) {
         let latency = self.gateway.now().saturating_sub(self.exchange.arrived);
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use almondbank_gateway::call::{Call, Part};
-use almondbank_gateway::quarantine::Tracker;
+use almondbank_gateway::crash::{Report, Run, Suspicion};
+use almondbank_gateway::quarantine::{Change, Tracker};
+use almondbank_gateway::suspect::Suspect;
 use almondbank_wire::mesh;
 use quickcheck::quickcheck;
 
@@ -13,12 +15,59 @@
     Duration::from_millis(millis)
 }
 
+fn run(runner: &str) -> Run {
+    (runner.to_owned(), 1)
+}
+
+fn part(id: &str) -> Suspect {
+    Suspect::Part(id.to_owned())
+}
+
+fn request(fingerprint: &str) -> Suspect {
+    Suspect::Request(fingerprint.to_owned())
+}
+
+// A crash under requests that were sent long before.
+fn record(tracker: &Tracker, suspects: Vec<Suspect>, runner: &str, millis: u64) -> Change {
+    record_sent(tracker, suspects, runner, 0, millis)
+}
+
+fn record_sent(
+    tracker: &Tracker,
+    suspects: Vec<Suspect>,
+    runner: &str,
+    sent_at: u64,
+    millis: u64,
+) -> Change {
+    let suspicion = |suspect| Suspicion {
+        suspect,
+        sent_at: at(sent_at),
+    };
+    let report = Report {
+        run: run(runner),
+        at: at(millis),
+        suspicions: suspects.into_iter().map(suspicion).collect(),
+    };
+    tracker.record_crash(&report, at(millis))
+}
+
 fn crash(tracker: &Tracker, parts: &[&str], runner: &str, millis: u64) {
-    let _ = tracker.record_crash(parts, runner, 1, at(millis));
+    let suspects = parts.iter().map(|id| part(id)).collect();
+    let _ = record(tracker, suspects, runner, millis);
+}
+
+fn respond(tracker: &Tracker, parts: &[&str], millis: u64) {
+    let suspects: Vec<_> = parts.iter().map(|id| part(id)).collect();
+    let run = run("responding");
+    let _ = tracker.record_response(&run, &suspects, at(millis), at(millis));
 }
 
-fn is_quarantined(tracker: &Tracker, part: &str, millis: u64) -> bool {
-    tracker.remaining(&[part], at(millis)).is_some()
+fn holds(tracker: &Tracker, suspect: Suspect, millis: u64) -> bool {
+    tracker.remaining(&[suspect], at(millis)).is_some()
+}
+
+fn is_quarantined(tracker: &Tracker, id: &str, millis: u64) -> bool {
+    holds(tracker, part(id), millis)
 }
 
 #[test]
@@ -27,8 +76,8 @@
     crash(&tracker, &PARTS, "a", 0);
     crash(&tracker, &PARTS, "b", 1_000);
     assert!(!is_quarantined(&tracker, "second", 1_000));
-    let change = tracker.record_crash(&PARTS, "c", 1, at(2_000));
-    assert_eq!(change.quarantined, ["second"]);
+    let change = record(&tracker, PARTS.map(part).to_vec(), "c", 2_000);
+    assert_eq!(change.quarantined, [part("second")]);
     assert!(is_quarantined(&tracker, "second", 2_000));
     assert!(!is_quarantined(&tracker, "first", 2_000));
 }
@@ -56,7 +105,7 @@
     let tracker = Tracker::default();
     for (second, runner) in ["a", "b", "c", "d", "e"].iter().enumerate() {
         crash(&tracker, &PARTS, runner, 1_000 * second as u64);
-        let _ = tracker.record_response(&PARTS[..1], at(1_000 * second as u64 + 500));
+        respond(&tracker, &PARTS[..1], 1_000 * second as u64 + 500);
     }
     assert!(is_quarantined(&tracker, "second", 5_000));
     assert!(!is_quarantined(&tracker, "first", 5_000));
@@ -73,13 +122,13 @@
         crash(&blaming, &PARTS, runner, 1_000 * second as u64);
     }
     let snapshot = blaming.snapshot(at(2_000)).unwrap();
-    let _ = other.record_response(&PARTS, at(1_900));
+    respond(&other, &PARTS, 1_900);
     let change = other.merge(&snapshot, at(2_000));
-    assert_eq!(change.sound, ["second"]);
+    assert_eq!(change.sound, [part("second")]);
     let sound = mesh::Quarantine {
         crashes: Vec::new(),
         crashing: Vec::new(),
-        sound: change.sound,
+        sound: change.sound.iter().map(mesh::Suspect::from).collect(),
     };
     assert!(blaming.merge(&sound, at(2_100)).is_new);
     assert!(!is_quarantined(&blaming, "second", 2_100));
@@ -113,6 +162,102 @@
     assert!(tracker.snapshot(at(2_001 + ten_minutes)).is_none());
 }
 
+#[test]
+fn a_request_that_is_sent_after_each_crash_is_quarantined_after_three() {
+    let tracker = Tracker::default();
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        assert!(!holds(&tracker, request("r"), 30 * index as u64));
+        let sent_at = 30 * index as u64 + 2;
+        let change = record_sent(
+            &tracker,
+            vec![request("r"), part("first")],
+            runner,
+            sent_at,
+            sent_at + 20,
+        );
+        assert_eq!(change.quarantined.is_empty(), index < 2);
+    }
+    assert!(holds(&tracker, request("r"), 100));
+    assert!(!is_quarantined(&tracker, "first", 100));
+    assert!(!holds(&tracker, request("other"), 100));
+}
+
+#[test]
+fn copies_of_a_request_on_runners_that_fail_together_do_not_blame_it() {
+    let tracker = Tracker::default();
+    for (index, runner) in ["a", "b", "c", "d", "e"].iter().enumerate() {
+        let millis = 1_000 + 20 * index as u64;
+        let _ = record_sent(&tracker, vec![request("r")], runner, 900, millis);
+    }
+    assert!(!holds(&tracker, request("r"), 1_200));
+}
+
+#[test]
+fn a_response_to_a_request_clears_it() {
+    let tracker = Tracker::default();
+    for (second, runner) in ["a", "b", "c", "d"].iter().enumerate() {
+        let millis = 3_000 * second as u64;
+        let _ = record_sent(&tracker, vec![request("r")], runner, millis, millis + 10);
+        assert!(tracker.suspects_requests());
+        let now = at(millis + 500);
+        let _ = tracker.record_response(&run("x"), &[request("r")], now, now);
+    }
+    assert!(!holds(&tracker, request("r"), 20_000));
+}
+
+#[test]
+fn connections_that_break_while_the_runner_lives_do_not_blame_a_request() {
+    let tracker = Tracker::default();
+    for (second, runner) in ["a", "b", "c", "d"].iter().enumerate() {
+        let millis = 1_000 * second as u64;
+        let _ = record_sent(&tracker, vec![request("r")], runner, millis, millis + 10);
+        let sent_at = at(millis + 20);
+        let _ = tracker.record_response(&run(runner), &[request("x")], sent_at, sent_at);
+    }
+    assert!(!holds(&tracker, request("r"), 5_000));
+}
+
+#[test]
+fn requests_that_crash_runners_repeatedly_blame_a_part_that_they_share_once_each() {
+    let tracker = Tracker::default();
+    let mut now = 0;
+    for (index, fingerprint) in ["r", "r", "r", "s", "t"].iter().enumerate() {
+        assert!(!is_quarantined(&tracker, "second", now));
+        now += 1_000;
+        let suspects = vec![request(fingerprint), part("first"), part("second")];
+        let _ = record_sent(&tracker, suspects, &index.to_string(), now - 50, now);
+    }
+    assert!(is_quarantined(&tracker, "second", now));
+    assert!(!is_quarantined(&tracker, "first", now));
+}
+
+#[test]
+fn an_instance_that_starts_later_knows_the_request_from_a_snapshot() {
+    let (seen, started) = (Tracker::default(), Tracker::default());
+    for (second, runner) in ["a", "b", "c"].iter().enumerate() {
+        let millis = 1_000 * second as u64;
+        let _ = record_sent(&seen, vec![request("r")], runner, millis, millis + 10);
+    }
+    let snapshot = seen.snapshot(at(5_000)).unwrap();
+    assert!(started.merge(&snapshot, at(5_000)).is_new);
+    assert!(holds(&started, request("r"), 5_000));
+    assert!(!started.merge(&snapshot, at(5_100)).is_new);
+}
+
+#[test]
+fn overlong_ids_of_a_peer_are_left_out() {
+    let tracker = Tracker::default();
+    let crashing = mesh::Crashing {
+        suspect: mesh::Suspect::Request("x".repeat(129)),
+        age_ms: 0,
+    };
+    let quarantine = mesh::Quarantine {
+        crashing: vec![crashing],
+        ..mesh::Quarantine::default()
+    };
+    assert_eq!(tracker.merge(&quarantine, at(0)), Change::default());
+}
+
 quickcheck! {
     // A part of which no request broke is never quarantined, whatever other parts did.
     fn only_parts_of_broken_requests_are_quarantined(crashes: Vec<(u8, u8, u16)>) -> bool {
@@ -120,8 +265,8 @@
         let mut now = 0;
         for (part, runner, wait) in crashes {
             now += u64::from(wait);
-            let part = format!("part-{}", part % 8);
-            crash(&tracker, &[&part], &format!("runner-{runner}"), now);
+            let id = format!("part-{}", part % 8);
+            crash(&tracker, &[&id], &format!("runner-{runner}"), now);
         }
         !is_quarantined(&tracker, "other", now)
     }
