Copies of a request that has crashed two runners do not wait for a replica

Cause: copies of the request waited for the only replica of its model, and were all sent in the millisecond in which there was one. Why it works: with two crashes counted a request is refused where it would wait (503, true, with the time of the replica); those that find a runner are tried, and the first decides. Ruled out: a threshold of two crashes, since requests that break beside the crashing one and are repeated with it reach two.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::selection::{self, Chosen, Excluded, Selection};
 use crate::transfer::Transfer;
 use crate::wait::Wait;
-use crate::{id, mesh};
+use crate::{crash_report, id, mesh};
 
 /// Interval at which a waiting request checks the registry without a change
 /// notification.
@@ -194,7 +194,8 @@
                 Selection::Wait(refusal) => {
                     let now = self.gateway.now();
                     let left = self.exchange.wait_deadline().saturating_sub(now);
-                    if left.is_zero() || self.failed.is_some() {
+                    let may_wait = crash_report::may_wait(&self.gateway, &self.exchange, now);
+                    if left.is_zero() || self.failed.is_some() || !may_wait {
                         wait.expect_return(&refusal);
                         return Err(self.adjust_refusal(refusal));
                     }
--- a/crates/gateway/src/crash_report.rs
+++ b/crates/gateway/src/crash_report.rs
@@ -39,6 +39,13 @@
     Some(Refusal::new(reason).with_retry_after(remaining))
 }
 
+/// Whether the request may wait for a runner. Copies of a request that is about to be
+/// quarantined would all be sent as soon as there is one.
+pub(crate) fn may_wait(gateway: &Gateway, exchange: &Exchange, now: Duration) -> bool {
+    let quarantine = &gateway.quarantine;
+    !quarantine.suspects_requests() || !quarantine.is_on_last_try(&exchange.as_suspect(), now)
+}
+
 /// Reports that the connection to `runner` broke before it had responded to the request,
 /// which was sent at `sent_at`.
 pub(crate) fn report_crash(
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -96,6 +96,12 @@
         })
     }
 
+    /// Whether one more crash puts the suspect into quarantine.
+    #[must_use]
+    pub fn is_on_last_try(&self, suspect: &Suspect, now: Duration) -> bool {
+        self.inner.lock().crash_count(suspect, now) + 1 >= MIN_CRASHES
+    }
+
     /// Records that a run of a runner ended before it had responded to a request.
     pub fn record_crash(&self, report: &Report, now: Duration) -> Change {
         let mut change = Change::default();
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -167,6 +167,8 @@
     let tracker = Tracker::default();
     for (index, runner) in ["a", "b", "c"].iter().enumerate() {
         assert!(!holds(&tracker, request("r"), 30 * index as u64));
+        let is_on_last_try = tracker.is_on_last_try(&request("r"), at(30 * index as u64));
+        assert_eq!(is_on_last_try, index == 2);
         let sent_at = 30 * index as u64 + 2;
         let change = record_sent(
             &tracker,
