Streams go on at their version after all instances were killed

Cause: which version began a stream was known to the instance that began it and to nobody else; with two possible versions all others refuse, as they must. Change: while a service has several possible versions, each instance writes its streams into one row, at most each 250 ms and 10 ms an instance; an instance that starts anew, or that does not know a stream, reads the rows, paced alike. Streams that one record names are never guessed; one that none names is refused as before. Nothing is written while one version serves. Ruled out: what runners keep of a prompt (it proves no version), reports between instances (they are gone too).

--- a/crates/control/src/key.rs
+++ b/crates/control/src/key.rs
@@ -67,6 +67,18 @@
     format!("env/{environment}/software")
 }
 
+/// Key prefix of the rows that name the streams which began at each instance.
+#[must_use]
+pub fn streams(environment: &str) -> String {
+    format!("env/{environment}/streams/")
+}
+
+/// Key of the row that names the streams which began at one instance.
+#[must_use]
+pub fn streams_of(environment: &str, instance: &str) -> String {
+    format!("env/{environment}/streams/{instance}")
+}
+
 /// Key prefix of the rows that drain runners.
 #[must_use]
 pub fn drains(environment: &str) -> String {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -94,7 +94,7 @@
             .demand
             .record_arrival(&exchange.service, &target.model, objective);
     }
-    let required = match stream_origin::required(gateway, &exchange) {
+    let required = match stream_origin::required(gateway, &exchange).await {
         Ok(required) => required,
         Err(refusal) => return refuse(gateway, Some(&exchange.call), &refusal),
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::summary::Collector;
 use crate::term::Term;
 use crate::topology::Topology;
-use crate::{Result, fetch, id, quarantine, runner_limit, software};
+use crate::{Result, fetch, id, quarantine, runner_limit, software, stream_record};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -88,6 +88,8 @@
     pub(crate) limits: runner_limit::Limiter,
     /// Software versions that began streams.
     pub(crate) software: software::History,
+    /// Reads which versions began the streams of other instances.
+    pub(crate) streams: stream_record::Reader,
     pub(crate) prefill: PrefillEstimator,
     pub(crate) service_times: ServiceTimeEstimator,
     pub(crate) event_gaps: EventGapEstimator,
@@ -144,6 +146,7 @@
             quarantine: quarantine::Tracker::default(),
             limits: runner_limit::Limiter::default(),
             software: software::History::default(),
+            streams: stream_record::Reader::default(),
             prefill: PrefillEstimator::default(),
             service_times: ServiceTimeEstimator::default(),
             event_gaps: EventGapEstimator::default(),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -10,7 +10,7 @@
 use crate::error::Code;
 use crate::gateway::{Gateway, Ports};
 use crate::server::{self, Purpose};
-use crate::{Result, discovery, leader, mesh, report, stream_origin, tcp, watcher};
+use crate::{Result, discovery, leader, mesh, report, stream_origin, stream_record, tcp, watcher};
 
 /// Time for which requests are accepted after this instance has left the directory.
 /// Callers cache the directory for up to three times its TTL.
@@ -53,6 +53,7 @@
         tokio::spawn(watcher::follow_registrations(Arc::clone(&gateway)));
         tokio::spawn(watcher::sweep(Arc::clone(&gateway)));
         tokio::spawn(stream_origin::record(Arc::clone(&gateway)));
+        tokio::spawn(stream_record::run(Arc::clone(&gateway)));
         tokio::spawn(leader::run(Arc::clone(&gateway)));
         let listeners = [
             (callers, Purpose::Callers),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -109,6 +109,7 @@
 mod selection;
 mod server;
 mod stream_origin;
+mod stream_record;
 mod tcp;
 mod term;
 mod transfer;
--- a/crates/gateway/src/software.rs
+++ b/crates/gateway/src/software.rs
@@ -1,9 +1,9 @@
 //! Software versions of runners, and which of them began a stream.
 //!
 //! What two versions write does not fit together, so a stream goes on only at the version
-//! that began it. An instance knows the version of the streams that began at it. A stream
-//! that began elsewhere can be of any version that served lately; it goes on if there is
-//! only one.
+//! that began it. An instance knows the version of the streams that began at it, and of those
+//! that others have recorded while several versions served. Any other stream can be of each
+//! version that served lately; it goes on if there is only one.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -17,9 +17,16 @@
 /// Longest attempt id that is kept, in bytes.
 const MAX_ID_BYTES: usize = 128;
 
+/// Most bytes of attempt ids in a record.
+const MAX_RECORD_BYTES: usize = 24 << 10;
+
 /// Versions that serve or served lately, by service.
 pub type Versions = BTreeMap<id::Service, BTreeSet<id::Software>>;
 
+/// Attempts that got the first event of a stream, by service and by the version that began
+/// it.
+pub type Record = BTreeMap<id::Service, BTreeMap<id::Software, BTreeSet<id::Attempt>>>;
+
 /// What an instance knows of the versions that began streams.
 #[derive(Debug, Default)]
 pub struct History {
@@ -30,7 +37,7 @@
 struct Inner {
     /// Versions in the store when this instance started, if they could be read.
     recorded: Option<Versions>,
-    streams: BTreeMap<Stream, id::Software>,
+    streams: BTreeMap<Stream, Origin>,
     /// Streams in the order in which they began, each with the time until which its
     /// version is kept.
     order: VecDeque<(Stream, Duration)>,
@@ -39,6 +46,14 @@
 /// Service of a stream, and the attempt that got its first event.
 type Stream = (id::Service, id::Attempt);
 
+/// Where a stream began.
+#[derive(Clone, Debug)]
+struct Origin {
+    software: id::Software,
+    /// Whether it began at this instance.
+    is_own: bool,
+}
+
 impl History {
     /// Records that a runner with `software` began the stream of `attempt`, which ends
     /// before `until`.
@@ -50,14 +65,61 @@
         until: Duration,
         now: Duration,
     ) {
-        if attempt.len() > MAX_ID_BYTES {
-            return;
+        let origin = Origin {
+            software: software.to_owned(),
+            is_own: true,
+        };
+        let mut inner = self.inner.lock();
+        inner.expire(now);
+        inner.insert(service, attempt, origin, until);
+    }
+
+    /// Adds the streams of a record that are not known yet. `is_own` is whether this
+    /// instance has written it, before it started anew.
+    pub fn merge(&self, record: &Record, is_own: bool, until: Duration, now: Duration) {
+        let mut inner = self.inner.lock();
+        inner.expire(now);
+        for (service, versions) in record {
+            for (software, attempts) in versions {
+                for attempt in attempts {
+                    let stream = (service.clone(), attempt.clone());
+                    if inner.streams.contains_key(&stream) {
+                        continue;
+                    }
+                    let software = software.clone();
+                    let origin = Origin { software, is_own };
+                    inner.insert(service, attempt, origin, until);
+                }
+            }
         }
+    }
+
+    /// Returns the streams of `services` that began at this instance, the latest if there
+    /// are too many for a record.
+    #[must_use]
+    pub fn own(&self, services: &BTreeSet<id::Service>, now: Duration) -> Record {
         let mut inner = self.inner.lock();
         inner.expire(now);
-        let stream = (service.to_owned(), attempt.to_owned());
-        inner.order.push_back((stream.clone(), until));
-        inner.streams.insert(stream, software.to_owned());
+        let mut record = Record::new();
+        let mut bytes = 0;
+        for (stream, _) in inner.order.iter().rev() {
+            let (service, attempt) = stream;
+            let origin = inner.streams.get(stream);
+            let Some(origin) = origin.filter(|origin| origin.is_own) else {
+                continue;
+            };
+            if !services.contains(service) {
+                continue;
+            }
+            bytes += attempt.len();
+            if bytes > MAX_RECORD_BYTES {
+                break;
+            }
+            let versions = record.entry(service.clone()).or_default();
+            let attempts = versions.entry(origin.software.clone()).or_default();
+            attempts.insert(attempt.clone());
+        }
+        record
     }
 
     /// Sets the versions that were found in the store at the start.
@@ -78,8 +140,8 @@
     ) -> Option<id::Software> {
         let inner = self.inner.lock();
         let stream = (service.to_owned(), attempt.to_owned());
-        if let Some(software) = inner.streams.get(&stream) {
-            return Some(software.clone());
+        if let Some(origin) = inner.streams.get(&stream) {
+            return Some(origin.software.clone());
         }
         let mut possible = seen.clone();
         if !is_complete {
@@ -106,6 +168,15 @@
 }
 
 impl Inner {
+    fn insert(&mut self, service: &str, attempt: &str, origin: Origin, until: Duration) {
+        if attempt.len() > MAX_ID_BYTES {
+            return;
+        }
+        let stream = (service.to_owned(), attempt.to_owned());
+        self.order.push_back((stream.clone(), until));
+        self.streams.insert(stream, origin);
+    }
+
     fn expire(&mut self, now: Duration) {
         while let Some((stream, until)) = self.order.front() {
             if self.order.len() < MAX_STREAMS && now < *until {
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -6,6 +6,7 @@
 use almondbank_control::key;
 use almondbank_port::commit;
 use almondbank_port::table::Transaction;
+use tokio::time;
 
 use crate::exchange::Exchange;
 use crate::forward::millis;
@@ -20,6 +21,8 @@
 const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which they are written again, in case the store has lost them.
 const REWRITE_INTERVAL: Duration = Duration::from_secs(30);
+/// Fraction of its remaining time that a request may wait for the records of streams.
+const MAX_READ_FRACTION: f64 = 0.25;
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns the only version at which the request may run, if it takes up a stream.
@@ -27,31 +30,57 @@
 /// # Errors
 ///
 /// Returns the refusal if the version that began the stream is not known.
-pub(crate) fn required(
+pub(crate) async fn required(
     gateway: &Gateway,
     exchange: &Exchange,
 ) -> Result<Option<id::Software>, Refusal> {
     if exchange.call.resume_after.is_none() || !exchange.route.resumable {
         return Ok(None);
     }
+    if let Some(software) = origin(gateway, exchange) {
+        return Ok(Some(software));
+    }
+    let now = gateway.now();
+    let limit = exchange.remaining(now).mul_f64(MAX_READ_FRACTION);
+    let refresh = gateway.streams.refresh(gateway, now);
+    if time::timeout(limit, refresh).await.is_err() {
+        log::info!(
+            request = exchange.call.attempt.as_str(), limit_ms = millis(limit);
+            "streams of other instances could not be read in time"
+        );
+    }
+    match origin(gateway, exchange) {
+        Some(software) => Ok(Some(software)),
+        None => Err(unknown_origin(gateway, exchange)),
+    }
+}
+
+fn origin(gateway: &Gateway, exchange: &Exchange) -> Option<id::Software> {
     let service = &exchange.service;
     let watched = gateway.registry.watched(gateway.now());
-    let left = exchange.route.timeout.saturating_sub(watched);
+    let is_complete = watched >= exchange.route.timeout;
     let seen = gateway.registry.software(service);
     let attempt = exchange.call.resumes.as_deref().unwrap_or_default();
     let origin = gateway
         .software
-        .origin(service, attempt, &seen, left.is_zero());
+        .origin(service, attempt, &seen, is_complete);
     log::info!(
         request = exchange.call.attempt.as_str(), resumes = attempt, software = origin.as_deref(),
         seen:? = seen, watched_ms = millis(watched);
         "caller takes up a stream"
     );
-    match origin {
-        Some(software) => Ok(Some(software)),
-        None if left.is_zero() || seen.len() > 1 => Err(Refusal::new(Reason::UnknownOrigin)),
-        None => Err(Refusal::new(Reason::UnknownOrigin).with_retry_after(left)),
+    origin
+}
+
+fn unknown_origin(gateway: &Gateway, exchange: &Exchange) -> Refusal {
+    let watched = gateway.registry.watched(gateway.now());
+    let left = exchange.route.timeout.saturating_sub(watched);
+    let refusal = Refusal::new(Reason::UnknownOrigin);
+    let seen = gateway.registry.software(&exchange.service);
+    if left.is_zero() || seen.len() > 1 {
+        return refusal;
     }
+    refusal.with_retry_after(left)
 }
 
 /// Records the version of a stream that `exchange` gets from a runner with `software`.
--- a/crates/gateway/tests/software.rs
+++ b/crates/gateway/tests/software.rs
@@ -64,3 +64,59 @@
     history.begin(SERVICE, &long, "v1", second(30), second(20));
     assert_eq!(history.origin(SERVICE, &long, &none, true), None);
 }
+
+fn services() -> BTreeSet<String> {
+    BTreeSet::from([SERVICE.to_owned()])
+}
+
+#[test]
+fn a_record_tells_another_instance_which_version_began_a_stream() {
+    let (began, other) = (History::default(), History::default());
+    began.begin(SERVICE, "a", "v1", second(30), second(0));
+    began.begin("elsewhere", "b", "v1", second(30), second(0));
+    let record = began.own(&services(), second(1));
+    assert_eq!(record.len(), 1);
+    other.merge(&record, false, second(60), second(1));
+    let seen = versions(&["v1", "v2"]);
+    assert_eq!(other.origin(SERVICE, "a", &seen, true).unwrap(), "v1");
+    assert!(other.own(&services(), second(1)).is_empty());
+}
+
+#[test]
+fn an_instance_that_starts_anew_records_its_earlier_streams_again() {
+    let started = History::default();
+    let earlier = History::default();
+    earlier.begin(SERVICE, "a", "v1", second(30), second(0));
+    let record = earlier.own(&services(), second(1));
+    started.merge(&record, true, second(60), second(1));
+    assert_eq!(started.own(&services(), second(2)), record);
+    assert!(started.own(&services(), second(61)).is_empty());
+}
+
+#[test]
+fn a_record_does_not_replace_what_the_instance_has_seen_itself() {
+    let (one, other) = (History::default(), History::default());
+    one.begin(SERVICE, "a", "v1", second(30), second(0));
+    other.begin(SERVICE, "a", "v2", second(30), second(0));
+    other.merge(
+        &one.own(&services(), second(1)),
+        false,
+        second(60),
+        second(1),
+    );
+    let seen = versions(&["v1", "v2"]);
+    assert_eq!(other.origin(SERVICE, "a", &seen, true).unwrap(), "v2");
+}
+
+#[test]
+fn a_record_is_bounded_and_keeps_the_latest_streams() {
+    let history = History::default();
+    for number in 10_000..30_000 {
+        let attempt = number.to_string();
+        history.begin(SERVICE, &attempt, "v1", second(30), second(0));
+    }
+    let record = history.own(&services(), second(1));
+    let attempts = &record[SERVICE]["v1"];
+    assert!(attempts.iter().map(String::len).sum::<usize>() <= 24 << 10);
+    assert!(attempts.contains("29999") && !attempts.contains("15000"));
+}
