What is in quarantine stays there after all instances were replaced

Cause: the quarantine lived in the instances alone. Change: the leader records what is in quarantine in one row, written when it changes; an instance reads it at its start. The row that a leader keeps is one type now (leader_row::Row), which the software versions use too; their recording has a file of its own. Evidence: a_request_is_kept_from_runners_after_all_instances_were_replaced failed before (502 where 503 is due) and passes. Ruled out: a row an instance, since all know the same. Conclusion: crashes that are not yet three are still forgotten with the instances; looked at next.

--- a/crates/control/src/key.rs
+++ b/crates/control/src/key.rs
@@ -67,6 +67,12 @@
     format!("env/{environment}/software")
 }
 
+/// Key of the row with what crashes runners.
+#[must_use]
+pub fn quarantine(environment: &str) -> String {
+    format!("env/{environment}/quarantine")
+}
+
 /// Key prefix of the rows that name the streams which began at each instance.
 #[must_use]
 pub fn streams(environment: &str) -> String {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -10,7 +10,10 @@
 use crate::error::Code;
 use crate::gateway::{Gateway, Ports};
 use crate::server::{self, Purpose};
-use crate::{Result, discovery, leader, mesh, report, stream_origin, stream_record, tcp, watcher};
+use crate::{
+    Result, discovery, leader, mesh, quarantine_record, report, stream_record, tcp, version_record,
+    watcher,
+};
 
 /// Time for which requests are accepted after this instance has left the directory.
 /// Callers cache the directory for up to three times its TTL.
@@ -52,7 +55,8 @@
         tokio::spawn(watcher::follow_environment(Arc::clone(&gateway)));
         tokio::spawn(watcher::follow_registrations(Arc::clone(&gateway)));
         tokio::spawn(watcher::sweep(Arc::clone(&gateway)));
-        tokio::spawn(stream_origin::record(Arc::clone(&gateway)));
+        tokio::spawn(version_record::run(Arc::clone(&gateway)));
+        tokio::spawn(quarantine_record::run(Arc::clone(&gateway)));
         tokio::spawn(stream_record::run(Arc::clone(&gateway)));
         tokio::spawn(leader::run(Arc::clone(&gateway)));
         let listeners = [
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -35,6 +35,8 @@
 const MAX_CRASHES: usize = 256;
 /// Most suspects in quarantine; the one whose last crash is the oldest makes room.
 const MAX_QUARANTINED: usize = 1024;
+/// Most suspects in a record, the latest.
+const MAX_RECORDED: usize = 256;
 /// Most suspects of which recent responses are kept.
 const MAX_SOUND: usize = 4096;
 
@@ -172,13 +174,7 @@
         let crashes: Vec<_> = open
             .map(|(run, crash)| message(run, crash.at, &crash.suspicions, now))
             .collect();
-        let crashing = inner.quarantined.iter();
-        let crashing: Vec<_> = crashing
-            .map(|(suspect, at)| mesh::Crashing {
-                suspect: suspect.into(),
-                age_ms: millis(now.saturating_sub(*at)),
-            })
-            .collect();
+        let crashing = inner.crashing(now);
         let is_empty = crashes.is_empty() && crashing.is_empty();
         (!is_empty).then_some(mesh::Quarantine {
             crashes,
@@ -187,6 +183,25 @@
         })
     }
 
+    /// Returns what is in quarantine.
+    #[must_use]
+    pub fn suspects(&self) -> BTreeSet<Suspect> {
+        self.inner.lock().quarantined.keys().cloned().collect()
+    }
+
+    /// Returns what is in quarantine with the times of the last crashes, the latest if there
+    /// is too much for a record.
+    #[must_use]
+    pub fn record(&self, now: Duration) -> mesh::Quarantine {
+        let mut crashing = self.inner.lock().crashing(now);
+        crashing.sort_by_key(|crashing| crashing.age_ms);
+        crashing.truncate(MAX_RECORDED);
+        mesh::Quarantine {
+            crashing,
+            ..mesh::Quarantine::default()
+        }
+    }
+
     /// Removes what is too old to count.
     pub fn expire(&self, now: Duration) {
         let mut inner = self.inner.lock();
@@ -237,6 +252,14 @@
 }
 
 impl Inner {
+    fn crashing(&self, now: Duration) -> Vec<mesh::Crashing> {
+        let crashing = self.quarantined.iter().map(|(suspect, at)| mesh::Crashing {
+            suspect: suspect.into(),
+            age_ms: millis(now.saturating_sub(*at)),
+        });
+        crashing.collect()
+    }
+
     fn find_request(&self) -> bool {
         self.quarantined.keys().any(Suspect::is_request)
             || self.crashes.values().any(|crash| {
--- /dev/null
+++ b/crates/gateway/src/quarantine_record.rs
@@ -0,0 +1,39 @@
+//! Records what is in quarantine, so that it stays there after all instances were replaced.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use almondbank_control::key;
+use almondbank_wire::mesh;
+
+use crate::crash_report;
+use crate::gateway::Gateway;
+use crate::leader_row::{self, Row};
+use crate::mesh::ENVIRONMENT;
+
+/// What logs name as the source of a quarantine that was read from the store.
+const SOURCE: &str = "store";
+
+/// Reads the quarantine in the store at the start, and writes it while this instance is the
+/// leader and knows of one.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut row = Row::new(key::quarantine(ENVIRONMENT), "quarantine");
+    if let Some(quarantine) = row.read::<mesh::Quarantine>(&gateway).await {
+        crash_report::receive(&gateway, SOURCE, &quarantine);
+    }
+    loop {
+        tokio::select! {
+            () = gateway.stopped.cancelled() => return,
+            () = gateway.clock.sleep(leader_row::INTERVAL) => {}
+        }
+        if gateway.term().is_none() {
+            row.forget();
+            continue;
+        }
+        let quarantine = gateway.quarantine.record(gateway.now());
+        let suspects: BTreeSet<_> = gateway.quarantine.suspects();
+        if !suspects.is_empty() || row.is_written() {
+            row.update(&gateway, suspects, &quarantine).await;
+        }
+    }
+}
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -1,29 +1,15 @@
 //! Keeps streams at the software version of the runners that began them.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use almondbank_control::key;
-use almondbank_port::commit;
-use almondbank_port::table::Transaction;
 use tokio::time;
 
 use crate::exchange::Exchange;
 use crate::forward::millis;
 use crate::gateway::Gateway;
 use crate::id;
-use crate::mesh::ENVIRONMENT;
 use crate::refusal::{Reason, Refusal};
-use crate::registry::TOMBSTONE_TTL;
-use crate::software::Versions;
 
-/// Interval at which the versions are compared with those in the store.
-const RECORD_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which they are written again, in case the store has lost them.
-const REWRITE_INTERVAL: Duration = Duration::from_secs(30);
 /// Fraction of its remaining time that a request may wait for the records of streams.
 const MAX_READ_FRACTION: f64 = 0.25;
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns the only version at which the request may run, if it takes up a stream.
 ///
@@ -99,63 +85,3 @@
         .software
         .begin(&exchange.service, first, software, until, now);
 }
-
-/// Reads the versions in the store at the start, and writes them while this instance is
-/// the leader, so that instances that start later know what served before.
-pub(crate) async fn record(gateway: Arc<Gateway>) {
-    read(&gateway).await;
-    let mut written: Option<(Versions, Duration)> = None;
-    loop {
-        tokio::select! {
-            () = gateway.stopped.cancelled() => return,
-            () = gateway.clock.sleep(RECORD_INTERVAL) => {}
-        }
-        if gateway.term().is_none() {
-            written = None;
-            continue;
-        }
-        let now = gateway.now();
-        let mut versions = gateway.registry.all_software();
-        if gateway.registry.watched(now) < TOMBSTONE_TTL {
-            versions = gateway.software.merge_recorded(versions);
-        }
-        let is_written = written
-            .as_ref()
-            .is_some_and(|(known, at)| *known == versions && now < *at + REWRITE_INTERVAL);
-        if !is_written && write(&gateway, &versions).await {
-            written = Some((versions, now));
-        }
-    }
-}
-
-async fn read(gateway: &Gateway) {
-    while !gateway.stopped.is_cancelled() {
-        match gateway.ports.table.get(&key::software(ENVIRONMENT)).await {
-            Ok(Some(row)) => {
-                match key::decode(&row.key, &row.value) {
-                    Ok(versions) => gateway.software.set_recorded(versions),
-                    Err(error) => {
-                        log::warn!(error:% = error; "versions of runners in the store are malformed");
-                    }
-                }
-                return;
-            }
-            Ok(None) => return,
-            Err(error) => {
-                log::info!(error:% = error; "versions of runners could not be read");
-                gateway.clock.sleep(RECORD_INTERVAL).await;
-            }
-        }
-    }
-}
-
-async fn write(gateway: &Gateway, versions: &Versions) -> bool {
-    let writer = format!("{}/software", gateway.incarnation);
-    let transaction =
-        Transaction::new(writer).put(key::software(ENVIRONMENT), key::encode(versions));
-    let deadline = gateway.now() + WRITE_TIMEOUT;
-    let table = &*gateway.ports.table;
-    let written = commit::resolve(table, &*gateway.clock, &transaction, deadline).await;
-    log::info!(versions:? = versions, is_written = written.is_ok(); "versions of runners recorded");
-    written.is_ok()
-}
