Requests that have crashed two runners are recorded too, and at once

Cause: the leader looked for something to record each half second, and crashes short of three were not recorded. Change: the leader writes as soon as it learns of a crash; the record has the crashes of the requests that one more crash puts into quarantine. Requests with one crash are left out: most of them broke beside the one that crashed the runner.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether it may have been caused by any of its suspects.
+    pub(crate) fn is_open(&self) -> bool {
+        self.explained_by.is_none() && !self.is_refuted
+    }
+
     /// Counts against a suspect from now on; returns whether it did not before.
     pub(crate) fn suspect(&mut self, suspicion: &Suspicion) -> bool {
         let known = self
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,6 +10,7 @@
 
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::crash::{Crash, Report, Run, Suspicion};
 use crate::forward::millis;
@@ -37,6 +38,8 @@
 const MAX_QUARANTINED: usize = 1024;
 /// Most suspects in a record, the latest.
 const MAX_RECORDED: usize = 256;
+/// Most crashes in a record, the latest.
+const MAX_RECORDED_CRASHES: usize = 64;
 /// Most suspects of which recent responses are kept.
 const MAX_SOUND: usize = 4096;
 
@@ -44,6 +47,7 @@
 #[derive(Debug, Default)]
 pub struct Tracker {
     inner: Mutex<Inner>,
+    changed: Notify,
 }
 
 /// What a tracker has learned from a crash, a response or another instance.
@@ -57,6 +61,17 @@
     pub sound: Vec<Suspect>,
 }
 
+/// What is recorded outside of the instance.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Requests that one more crash puts into quarantine.
+    pub last_try: BTreeSet<Suspect>,
+    /// What is in quarantine.
+    pub quarantined: BTreeSet<Suspect>,
+    /// Both, with the times of the crashes.
+    pub message: mesh::Quarantine,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     crashes: BTreeMap<Run, Crash>,
@@ -108,6 +123,7 @@
     pub fn record_crash(&self, report: &Report, now: Duration) -> Change {
         let mut change = Change::default();
         self.inner.lock().add_crash(report, now, &mut change);
+        self.notify(&change);
         change
     }
 
@@ -159,18 +175,27 @@
                 change.is_new |= inner.dismiss(&suspect, now);
             }
         }
+        self.notify(&change);
         change
     }
 
+    fn notify(&self, change: &Change) {
+        if change.is_new || !change.quarantined.is_empty() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Waits until a crash or another instance has told something new since the last call.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// Returns what this instance knows, for one that may have missed it, or `None` if it
     /// suspects nothing.
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Option<mesh::Quarantine> {
         let inner = self.inner.lock();
-        let open = inner
-            .crashes
-            .iter()
-            .filter(|(_, crash)| crash.explained_by.is_none() && !crash.is_refuted);
+        let open = inner.crashes.iter().filter(|(_, crash)| crash.is_open());
         let crashes: Vec<_> = open
             .map(|(run, crash)| message(run, crash.at, &crash.suspicions, now))
             .collect();
@@ -183,22 +208,34 @@
         })
     }
 
-    /// Returns what is in quarantine.
+    /// Returns what outlives this instance: what is in quarantine, and the requests that
+    /// one more crash puts there.
     #[must_use]
-    pub fn suspects(&self) -> BTreeSet<Suspect> {
-        self.inner.lock().quarantined.keys().cloned().collect()
-    }
-
-    /// Returns what is in quarantine with the times of the last crashes, the latest if there
-    /// is too much for a record.
-    #[must_use]
-    pub fn record(&self, now: Duration) -> mesh::Quarantine {
-        let mut crashing = self.inner.lock().crashing(now);
+    pub fn record(&self, now: Duration) -> Record {
+        let inner = self.inner.lock();
+        let last_try = inner.on_last_try(now);
+        let is_recorded = |suspicion: &&Suspicion| last_try.contains(&suspicion.suspect);
+        let mut crashes = Vec::new();
+        for (run, crash) in inner.crashes.iter().filter(|(_, crash)| crash.is_open()) {
+            let recorded = crash.suspicions.iter().filter(is_recorded);
+            let suspicions: Vec<_> = recorded.cloned().collect();
+            if !suspicions.is_empty() {
+                crashes.push(message(run, crash.at, &suspicions, now));
+            }
+        }
+        crashes.sort_by_key(|crash| crash.age_ms);
+        crashes.truncate(MAX_RECORDED_CRASHES);
+        let mut crashing = inner.crashing(now);
         crashing.sort_by_key(|crashing| crashing.age_ms);
         crashing.truncate(MAX_RECORDED);
-        mesh::Quarantine {
-            crashing,
-            ..mesh::Quarantine::default()
+        Record {
+            last_try,
+            quarantined: inner.quarantined.keys().cloned().collect(),
+            message: mesh::Quarantine {
+                crashes,
+                crashing,
+                sound: Vec::new(),
+            },
         }
     }
 
@@ -260,6 +297,21 @@
         crashing.collect()
     }
 
+    fn on_last_try(&self, now: Duration) -> BTreeSet<Suspect> {
+        let mut once = BTreeSet::new();
+        let mut again = BTreeSet::new();
+        for crash in self.crashes.values().filter(|crash| crash.is_open()) {
+            let suspects = crash.suspicions.iter().map(|suspicion| &suspicion.suspect);
+            for suspect in suspects.filter(|suspect| suspect.is_request()) {
+                if !once.insert(suspect) {
+                    again.insert(suspect);
+                }
+            }
+        }
+        let is_due = |suspect: &&Suspect| self.crash_count(suspect, now) + 1 >= MIN_CRASHES;
+        again.into_iter().filter(is_due).cloned().collect()
+    }
+
     fn find_request(&self) -> bool {
         self.quarantined.keys().any(Suspect::is_request)
             || self.crashes.values().any(|crash| {
--- a/crates/gateway/src/quarantine_record.rs
+++ b/crates/gateway/src/quarantine_record.rs
@@ -1,6 +1,5 @@
-//! Records what is in quarantine, so that it stays there after all instances were replaced.
+//! Records what crashes runners, so that it is known after all instances were replaced.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use almondbank_control::key;
@@ -14,8 +13,8 @@
 /// What logs name as the source of a quarantine that was read from the store.
 const SOURCE: &str = "store";
 
-/// Reads the quarantine in the store at the start, and writes it while this instance is the
-/// leader and knows of one.
+/// Reads the record at the start, and writes it while this instance is the leader and has
+/// something to record.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut row = Row::new(key::quarantine(ENVIRONMENT), "quarantine");
     if let Some(quarantine) = row.read::<mesh::Quarantine>(&gateway).await {
@@ -24,16 +23,17 @@
     loop {
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
+            () = gateway.quarantine.changed() => {}
             () = gateway.clock.sleep(leader_row::INTERVAL) => {}
         }
         if gateway.term().is_none() {
             row.forget();
             continue;
         }
-        let quarantine = gateway.quarantine.record(gateway.now());
-        let suspects: BTreeSet<_> = gateway.quarantine.suspects();
-        if !suspects.is_empty() || row.is_written() {
-            row.update(&gateway, suspects, &quarantine).await;
+        let record = gateway.quarantine.record(gateway.now());
+        let content = (record.last_try, record.quarantined);
+        if content != Default::default() || row.is_written() {
+            row.update(&gateway, content, &record.message).await;
         }
     }
 }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! Which prompt parts are quarantined after crashes of runners, and for how long.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondbank_gateway::call::{Call, Part};
@@ -246,6 +247,28 @@
     assert!(!started.merge(&snapshot, at(5_100)).is_new);
 }
 
+#[test]
+fn a_record_has_the_requests_that_the_next_crash_puts_into_quarantine() {
+    let (tracker, started) = (Tracker::default(), Tracker::default());
+    for (second, runner) in ["a", "b"].iter().enumerate() {
+        let millis = 1_000 * second as u64;
+        let bystander = request(&format!("bystander-{second}"));
+        let suspects = vec![request("r"), bystander, part("first")];
+        let _ = record_sent(&tracker, suspects, runner, millis, millis + 10);
+    }
+    let record = tracker.record(at(2_000));
+    assert_eq!(record.last_try, BTreeSet::from([request("r")]));
+    assert!(record.quarantined.is_empty());
+    assert_eq!(record.message.crashes.len(), 2);
+    let _ = started.merge(&record.message, at(100));
+    assert!(started.is_on_last_try(&request("r"), at(100)));
+    let change = record_sent(&started, vec![request("r")], "c", 110, 120);
+    assert_eq!(change.quarantined, [request("r")]);
+    let record = started.record(at(200));
+    assert_eq!(record.quarantined, BTreeSet::from([request("r")]));
+    assert!(record.message.crashes.is_empty());
+}
+
 #[test]
 fn overlong_ids_of_a_peer_are_left_out() {
     let tracker = Tracker::default();
