--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use almondbank_wire::mesh;
+
+use crate::forward::millis;
 use crate::id;
 use crate::suspect::Suspect;
 
@@ -24,6 +27,29 @@
     pub suspicions: Vec<Suspicion>,
 }
 
+impl Report {
+    /// Returns what another instance has told of a crash, without malformed suspects.
+    pub(crate) fn received(crash: &mesh::Crash, now: Duration) -> Self {
+        let at = now.saturating_sub(Duration::from_millis(crash.age_ms));
+        let suspicions = crash.suspicions.iter().filter_map(|suspicion| {
+            Some(Suspicion {
+                suspect: Suspect::try_from(&suspicion.suspect).ok()?,
+                sent_at: at.saturating_sub(Duration::from_millis(suspicion.held_ms)),
+            })
+        });
+        Self {
+            run: (crash.runner.clone(), crash.born_ms),
+            at,
+            suspicions: suspicions.collect(),
+        }
+    }
+
+    /// Returns the message that tells other instances of the crash.
+    pub(crate) fn message(&self, now: Duration) -> mesh::Crash {
+        message(&self.run, self.at, self.suspicions.iter(), now)
+    }
+}
+
 /// What may have ended a run.
 #[derive(Clone, Debug)]
 pub struct Suspicion {
@@ -48,6 +74,7 @@
 }
 
 impl Crash {
+    /// A crash that counts against nothing yet.
     pub(crate) fn new(at: Duration) -> Self {
         Self {
             at,
@@ -58,6 +85,19 @@
         }
     }
 
+    /// Returns the message that tells other instances of the crash of `run`, with the
+    /// suspects that are `included`.
+    pub(crate) fn message(
+        &self,
+        run: &Run,
+        included: impl Fn(&Suspect) -> bool,
+        now: Duration,
+    ) -> mesh::Crash {
+        let suspicions = self.suspicions.iter();
+        let suspicions = suspicions.filter(|suspicion| included(&suspicion.suspect));
+        message(run, self.at, suspicions, now)
+    }
+
     /// Whether it may have been caused by any of its suspects.
     pub(crate) fn is_open(&self) -> bool {
         self.explained_by.is_none() && !self.is_refuted
@@ -98,3 +138,21 @@
         suspicion.map(|suspicion| suspicion.sent_at)
     }
 }
+
+fn message<'a>(
+    run: &Run,
+    at: Duration,
+    suspicions: impl Iterator<Item = &'a Suspicion>,
+    now: Duration,
+) -> mesh::Crash {
+    let suspicions = suspicions.map(|suspicion| mesh::Suspicion {
+        suspect: (&suspicion.suspect).into(),
+        held_ms: millis(at.saturating_sub(suspicion.sent_at)),
+    });
+    mesh::Crash {
+        runner: run.0.clone(),
+        born_ms: run.1,
+        age_ms: millis(now.saturating_sub(at)),
+        suspicions: suspicions.collect(),
+    }
+}
--- a/crates/gateway/src/crash_report.rs
+++ b/crates/gateway/src/crash_report.rs
@@ -9,7 +9,7 @@
 use crate::exchange::Exchange;
 use crate::fanout::Origin;
 use crate::gateway::Gateway;
-use crate::quarantine::{self, Change};
+use crate::quarantine::Change;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::suspect::Suspect;
@@ -74,9 +74,8 @@
     let change = gateway.quarantine.record_crash(&report, now);
     log_change(&change, &gateway.settings.instance);
     if change.is_new {
-        let crash = quarantine::message(&report.run, now, &report.suspicions, now);
         let quarantine = mesh::Quarantine {
-            crashes: vec![crash],
+            crashes: vec![report.message(now)],
             ..mesh::Quarantine::default()
         };
         gateway.broadcast(mesh::Message::Quarantine(quarantine), Origin::Own);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::crash::{Crash, Report, Run, Suspicion};
+use crate::crash::{Crash, Report, Run};
 use crate::forward::millis;
 use crate::suspect::Suspect;
 
@@ -36,10 +36,8 @@
 const MAX_CRASHES: usize = 256;
 /// Most suspects in quarantine; the one whose last crash is the oldest makes room.
 const MAX_QUARANTINED: usize = 1024;
-/// Most suspects in a record, the latest.
-const MAX_RECORDED: usize = 256;
-/// Most crashes in a record, the latest.
-const MAX_RECORDED_CRASHES: usize = 64;
+/// Most suspects in quarantine in a record, and most suspicions of crashes, the latest.
+const MAX_RECORDED: usize = 192;
 /// Most suspects of which recent responses are kept.
 const MAX_SOUND: usize = 4096;
 
@@ -155,7 +153,7 @@
         let mut inner = self.inner.lock();
         let mut change = Change::default();
         for crash in &quarantine.crashes {
-            inner.add_crash(&report(crash, now), now, &mut change);
+            inner.add_crash(&Report::received(crash, now), now, &mut change);
         }
         for crashing in &quarantine.crashing {
             let Ok(suspect) = Suspect::try_from(&crashing.suspect) else {
@@ -197,7 +195,7 @@
         let inner = self.inner.lock();
         let open = inner.crashes.iter().filter(|(_, crash)| crash.is_open());
         let crashes: Vec<_> = open
-            .map(|(run, crash)| message(run, crash.at, &crash.suspicions, now))
+            .map(|(run, crash)| crash.message(run, |_| true, now))
             .collect();
         let crashing = inner.crashing(now);
         let is_empty = crashes.is_empty() && crashing.is_empty();
@@ -214,28 +212,18 @@
     pub fn record(&self, now: Duration) -> Record {
         let inner = self.inner.lock();
         let last_try = inner.on_last_try(now);
-        let is_recorded = |suspicion: &&Suspicion| last_try.contains(&suspicion.suspect);
-        let mut crashes = Vec::new();
-        for (run, crash) in inner.crashes.iter().filter(|(_, crash)| crash.is_open()) {
-            let recorded = crash.suspicions.iter().filter(is_recorded);
-            let suspicions: Vec<_> = recorded.cloned().collect();
-            if !suspicions.is_empty() {
-                crashes.push(message(run, crash.at, &suspicions, now));
-            }
-        }
-        crashes.sort_by_key(|crash| crash.age_ms);
-        crashes.truncate(MAX_RECORDED_CRASHES);
         let mut crashing = inner.crashing(now);
         crashing.sort_by_key(|crashing| crashing.age_ms);
         crashing.truncate(MAX_RECORDED);
+        let message = mesh::Quarantine {
+            crashes: inner.crashes_under(&last_try, now),
+            crashing,
+            sound: Vec::new(),
+        };
         Record {
             last_try,
             quarantined: inner.quarantined.keys().cloned().collect(),
-            message: mesh::Quarantine {
-                crashes,
-                crashing,
-                sound: Vec::new(),
-            },
+            message,
         }
     }
 
@@ -254,40 +242,6 @@
     }
 }
 
-/// Returns the message with which an instance tells others of a crash.
-pub(crate) fn message(
-    run: &Run,
-    at: Duration,
-    suspicions: &[Suspicion],
-    now: Duration,
-) -> mesh::Crash {
-    let suspicions = suspicions.iter().map(|suspicion| mesh::Suspicion {
-        suspect: (&suspicion.suspect).into(),
-        held_ms: millis(at.saturating_sub(suspicion.sent_at)),
-    });
-    mesh::Crash {
-        runner: run.0.clone(),
-        born_ms: run.1,
-        age_ms: millis(now.saturating_sub(at)),
-        suspicions: suspicions.collect(),
-    }
-}
-
-fn report(crash: &mesh::Crash, now: Duration) -> Report {
-    let at = now.saturating_sub(Duration::from_millis(crash.age_ms));
-    let suspicions = crash.suspicions.iter().filter_map(|suspicion| {
-        Some(Suspicion {
-            suspect: Suspect::try_from(&suspicion.suspect).ok()?,
-            sent_at: at.saturating_sub(Duration::from_millis(suspicion.held_ms)),
-        })
-    });
-    Report {
-        run: (crash.runner.clone(), crash.born_ms),
-        at,
-        suspicions: suspicions.collect(),
-    }
-}
-
 impl Inner {
     fn crashing(&self, now: Duration) -> Vec<mesh::Crashing> {
         let crashing = self.quarantined.iter().map(|(suspect, at)| mesh::Crashing {
@@ -297,6 +251,22 @@
         crashing.collect()
     }
 
+    // Crashes that count against `suspects`, with these only, the latest first.
+    fn crashes_under(&self, suspects: &BTreeSet<Suspect>, now: Duration) -> Vec<mesh::Crash> {
+        let open = self.crashes.iter().filter(|(_, crash)| crash.is_open());
+        let mut crashes: Vec<_> = open
+            .map(|(run, crash)| crash.message(run, |suspect| suspects.contains(suspect), now))
+            .filter(|crash| !crash.suspicions.is_empty())
+            .collect();
+        crashes.sort_by_key(|crash| crash.age_ms);
+        let mut suspicions = 0;
+        let is_in_bounds = |crash: &mesh::Crash| {
+            suspicions += crash.suspicions.len();
+            suspicions <= MAX_RECORDED
+        };
+        crashes.into_iter().take_while(is_in_bounds).collect()
+    }
+
     fn on_last_try(&self, now: Duration) -> BTreeSet<Suspect> {
         let mut once = BTreeSet::new();
         let mut again = BTreeSet::new();
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -269,6 +269,24 @@
     assert!(record.message.crashes.is_empty());
 }
 
+#[test]
+fn a_record_is_bounded_however_many_requests_break_twice() {
+    let tracker = Tracker::default();
+    for crash in 0..20_u64 {
+        for number in 0..100 {
+            let fingerprint = format!("{}-{number}", crash / 2);
+            let millis = 1_000 * crash;
+            let runner = crash.to_string();
+            let suspects = vec![request(&fingerprint)];
+            let _ = record_sent(&tracker, suspects, &runner, millis, millis + 10);
+        }
+    }
+    let record = tracker.record(at(20_000));
+    assert_eq!(record.last_try.len(), 1_000);
+    let crashes = record.message.crashes.iter();
+    assert!(crashes.map(|crash| crash.suspicions.len()).sum::<usize>() <= 192);
+}
+
 #[test]
 fn overlong_ids_of_a_peer_are_left_out() {
     let tracker = Tracker::default();
