Of requests that broke together each time all are quarantined

Cause: another request, repeated at the same time, had broken beside it three times too. It was reported first, was quarantined, and so explained the three crashes; for the one that crashed the runners the count began anew. Change: crashes that one request explains still count against another, unless the first was in quarantine before the crash. Evidence: of_requests_that_broke_together_each_time_all_are_quarantined failed before, passes. Ruled out: the time between crashes, which all counted.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -69,6 +69,8 @@
     dismissed: BTreeSet<Suspect>,
     /// What is in quarantine for this crash.
     pub(crate) explained_by: Option<Suspect>,
+    /// Whether that was in quarantine before, so that the crash tells nothing of others.
+    pub(crate) is_expected: bool,
     /// Whether the run has responded to a later request, so that it has not ended.
     pub(crate) is_refuted: bool,
 }
@@ -81,6 +83,7 @@
             suspicions: Vec::new(),
             dismissed: BTreeSet::new(),
             explained_by: None,
+            is_expected: false,
             is_refuted: false,
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -347,6 +347,12 @@
             match &crash.explained_by {
                 // Requests with one part may be sent while runners fail for another cause.
                 None => open.push((crash.at, suspect.is_request().then_some(sent_at))),
+                // Of two requests that broke together each time, either may be the cause.
+                Some(Suspect::Request(_)) if suspect.is_request() => {
+                    if !crash.is_expected {
+                        open.push((crash.at, Some(sent_at)));
+                    }
+                }
                 Some(Suspect::Request(request)) => {
                     requests.insert(request);
                 }
@@ -373,7 +379,10 @@
     fn explain(&mut self, run: Run, at: Duration, suspect: Suspect) {
         make_room(&mut self.crashes, MAX_CRASHES, &run, |crash| crash.at);
         let crash = self.crashes.entry(run).or_insert_with(|| Crash::new(at));
-        crash.explained_by = Some(suspect);
+        if crash.explained_by.is_none() {
+            crash.explained_by = Some(suspect);
+            crash.is_expected = true;
+        }
     }
 
     // Whether a runner responded to the suspect shortly before `at` or later.
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -185,6 +185,30 @@
     assert!(!holds(&tracker, request("other"), 100));
 }
 
+// Guards against a request that crashes runners and is taken for one that broke beside it.
+#[test]
+fn of_requests_that_broke_together_each_time_all_are_quarantined() {
+    let tracker = Tracker::default();
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        let sent_at = 100 * index as u64;
+        for fingerprint in ["beside", "crashing"] {
+            let suspects = vec![request(fingerprint)];
+            let _ = record_sent(&tracker, suspects, runner, sent_at, sent_at + 20);
+        }
+    }
+    assert!(holds(&tracker, request("beside"), 300));
+    assert!(holds(&tracker, request("crashing"), 300));
+    // Crashes of what is known to crash runners tell nothing of others.
+    for (index, runner) in ["d", "e", "f"].iter().enumerate() {
+        let sent_at = 1_000 + 100 * index as u64;
+        for fingerprint in ["crashing", "crashing", "later"] {
+            let suspects = vec![request(fingerprint)];
+            let _ = record_sent(&tracker, suspects, runner, sent_at, sent_at + 20);
+        }
+    }
+    assert!(!holds(&tracker, request("later"), 2_000));
+}
+
 #[test]
 fn copies_of_a_request_on_runners_that_fail_together_do_not_blame_it() {
     let tracker = Tracker::default();
