--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -28,8 +28,8 @@
 }
 
 impl Report {
-    /// Returns what another instance has told of a crash, without malformed suspects.
-    pub(crate) fn received(crash: &mesh::Crash, now: Duration) -> Self {
+    /// Decodes a crash that another instance reports, without malformed suspects.
+    pub(crate) fn decode(crash: &mesh::Crash, now: Duration) -> Self {
         let at = now.saturating_sub(Duration::from_millis(crash.age_ms));
         let suspicions = crash.suspicions.iter().filter_map(|suspicion| {
             Some(Suspicion {
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Returns the message that tells other instances of the crash.
-    pub(crate) fn message(&self, now: Duration) -> mesh::Crash {
-        message(&self.run, self.at, self.suspicions.iter(), now)
+    /// Encodes the crash for other instances.
+    pub(crate) fn encode(&self, now: Duration) -> mesh::Crash {
+        encode(&self.run, self.at, self.suspicions.iter(), now)
     }
 }
 
@@ -69,7 +69,8 @@
     dismissed: BTreeSet<Suspect>,
     /// What is in quarantine for this crash.
     pub(crate) explained_by: Option<Suspect>,
-    /// Whether that was in quarantine before, so that the crash tells nothing of others.
+    /// Whether that was in quarantine before, so that the crash is no evidence against
+    /// others.
     pub(crate) is_expected: bool,
     /// Whether the run has responded to a later request, so that it has not ended.
     pub(crate) is_refuted: bool,
@@ -88,9 +89,9 @@
         }
     }
 
-    /// Returns the message that tells other instances of the crash of `run`, with the
-    /// suspects that are `included`.
-    pub(crate) fn message(
+    /// Encodes the crash of `run` for other instances, with the suspects that are
+    /// `included`.
+    pub(crate) fn encode(
         &self,
         run: &Run,
         included: impl Fn(&Suspect) -> bool,
@@ -98,7 +99,7 @@
     ) -> mesh::Crash {
         let suspicions = self.suspicions.iter();
         let suspicions = suspicions.filter(|suspicion| included(&suspicion.suspect));
-        message(run, self.at, suspicions, now)
+        encode(run, self.at, suspicions, now)
     }
 
     /// Whether it may have been caused by any of its suspects.
@@ -142,7 +143,7 @@
     }
 }
 
-fn message<'a>(
+fn encode<'a>(
     run: &Run,
     at: Duration,
     suspicions: impl Iterator<Item = &'a Suspicion>,
--- a/crates/gateway/src/crash_report.rs
+++ b/crates/gateway/src/crash_report.rs
@@ -75,7 +75,7 @@
     log_change(&change, &gateway.settings.instance);
     if change.is_new {
         let quarantine = mesh::Quarantine {
-            crashes: vec![report.message(now)],
+            crashes: vec![report.encode(now)],
             ..mesh::Quarantine::default()
         };
         gateway.broadcast(mesh::Message::Quarantine(quarantine), Origin::Own);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -153,7 +153,7 @@
         let mut inner = self.inner.lock();
         let mut change = Change::default();
         for crash in &quarantine.crashes {
-            inner.add_crash(&Report::received(crash, now), now, &mut change);
+            inner.add_crash(&Report::decode(crash, now), now, &mut change);
         }
         for crashing in &quarantine.crashing {
             let Ok(suspect) = Suspect::try_from(&crashing.suspect) else {
@@ -183,7 +183,8 @@
         }
     }
 
-    /// Waits until a crash or another instance has told something new since the last call.
+    /// Waits until the next crash or message of another instance that changes what is
+    /// suspected.
     pub async fn changed(&self) {
         self.changed.notified().await;
     }
@@ -195,7 +196,7 @@
         let inner = self.inner.lock();
         let open = inner.crashes.iter().filter(|(_, crash)| crash.is_open());
         let crashes: Vec<_> = open
-            .map(|(run, crash)| crash.message(run, |_| true, now))
+            .map(|(run, crash)| crash.encode(run, |_| true, now))
             .collect();
         let crashing = inner.crashing(now);
         let is_empty = crashes.is_empty() && crashing.is_empty();
@@ -255,7 +256,7 @@
     fn crashes_under(&self, suspects: &BTreeSet<Suspect>, now: Duration) -> Vec<mesh::Crash> {
         let open = self.crashes.iter().filter(|(_, crash)| crash.is_open());
         let mut crashes: Vec<_> = open
-            .map(|(run, crash)| crash.message(run, |suspect| suspects.contains(suspect), now))
+            .map(|(run, crash)| crash.encode(run, |suspect| suspects.contains(suspect), now))
             .filter(|crash| !crash.suspicions.is_empty())
             .collect();
         crashes.sort_by_key(|crash| crash.age_ms);
