--- /dev/null
+++ b/review/standin/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases of the review.
+
+pub mod abandoned;
+pub mod adapter;
+pub mod crashing_part;
+pub mod origin;
