--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{self, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -52,6 +52,8 @@
     /// First three numbers of all addresses.
     net: String,
     folder: PathBuf,
+    /// Address of the first gateway for the others.
+    seed: Option<SocketAddr>,
 }
 
 impl System {
@@ -63,7 +65,7 @@
         store.put("op", "config", desired);
         let folder = std::env::temp_dir().join(format!("almondbank-review-{process}"));
         std::fs::create_dir_all(&folder)?;
-        let mut system = Self { store, gateways: Vec::new(), net, folder };
+        let mut system = Self { store, gateways: Vec::new(), net, folder, seed: None };
         for number in 1..=count {
             system.add(number)?;
         }
@@ -77,24 +79,24 @@
 
     fn add(&mut self, number: usize) -> io::Result<()> {
         let host = self.host(number);
+        let [callers, ready, peers, directory, metrics] = free_addresses(&host)?;
+        let seed = *self.seed.get_or_insert(peers);
         // What `platform/settings.yaml` becomes, with the bounds of a site of six machines.
         let text = format!(
-            "instance: entry-{number}\ndata_centre: zone-a\ncallers_listen: {host}:7001\n\
-             ready_listen: {host}:7002\npeers_listen: {host}:7003\ndirectory_listen: {host}:7004\n\
-             metrics_listen: {host}:9464\nstore: {}\nseeds: [\"{}:7003\"]\nmax_files: 4100\n\
+            "instance: entry-{number}\ndata_centre: zone-a\ncallers_listen: {callers}\n\
+             ready_listen: {ready}\npeers_listen: {peers}\ndirectory_listen: {directory}\n\
+             metrics_listen: {metrics}\nstore: {}\nseeds: [\"{seed}\"]\nmax_files: 4100\n\
              cpu_share: 0.25\nchecks_fencing: true\nlease_ms: 3000\ngrace_s: 8\nretry_ratio: 0.2\n\
              retry_window_s: 10\nretry_extra: 52\nload_window_s: 5\nload_overage: 1.1\nmax_ttl_s: 5\n",
-            self.store.address,
-            self.host(1)
+            self.store.address
         );
         let settings = self.folder.join(format!("entry-{number}.yaml"));
         std::fs::write(&settings, text)?;
-        let address = |port: u16| format!("{host}:{port}").parse().map_err(io::Error::other);
         let mut gateway = Gateway {
             settings,
             log: self.folder.join(format!("entry-{number}.log")),
-            callers: address(7001)?,
-            ready: address(7002)?,
+            callers,
+            ready,
             child: None,
         };
         gateway.start()?;
@@ -155,6 +157,14 @@
     }
 }
 
+// Addresses of `host` with ports that were free.
+fn free_addresses(host: &str) -> io::Result<[SocketAddr; 5]> {
+    let listen = |_| TcpListener::bind((host, 0));
+    let listeners: io::Result<Vec<_>> = (0..5).map(listen).collect();
+    let addresses = listeners?.iter().map(TcpListener::local_addr).collect::<io::Result<Vec<_>>>()?;
+    addresses.try_into().map_err(|_| io::ErrorKind::Other.into())
+}
+
 /// A route of the desired state.
 pub fn route(prefix: &str, kind: &str, service: &str, timeout_ms: u32, aim_ms: u32, resumable: bool) -> String {
     let attempts = if resumable || kind == "idempotent" { 2 } else { 1 };
