Review case 1: interim heads without end starve the gateways

Cause: Pool::connect gives a runner's connection to the HTTP library with no bound on what comes before the head of the answer, and the send waits for it by time alone; all requests share one thread.

The script lets one runner of nine answer with interim heads without end, at the speed of one machine's link, while a ninth of the requests ask for its model.

It takes the place of the case of GONE, which the stand-ins still play; the other cases are numbered anew.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
 [ -x target/release/almondbank ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin origin "$folder"
+exec target/review/standin crashing_part "$folder"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -37,6 +37,7 @@
         "origin" => cases::origin::play(&record, is_disturbed),
         "crashing_part" => cases::crashing_part::play(&record, is_disturbed, Variant::Begun),
         "long_prompt" => cases::crashing_part::play(&record, is_disturbed, Variant::Long),
+        "endless_heads" => cases::endless_heads::play(&record, is_disturbed),
         "adapter" => cases::adapter::play(&record, is_disturbed),
         "abandoned" => cases::abandoned::play(&record, is_disturbed),
         other => Err(format!("no case {other}")),
