Streams that are taken up are kept for their new time

Callers saw: a stream that they took up again late was refused, as its version was not known any more, though it had been taken up before.

Cause: History::expire removed a stream when the first of its entries ran out, although a later take-up had entered it again with a later time.

Ruled out: the bound on the number of streams, which the same code enforces.

Change: an entry that runs out removes the stream only if it is its last one.

Evidence: a_stream_that_was_taken_up_is_kept_for_its_new_time failed before (unknown origin at 12 s of a stream that is kept until 19 s), passes now.

--- a/crates/gateway/src/software.rs
+++ b/crates/gateway/src/software.rs
@@ -52,6 +52,8 @@
     software: id::Software,
     /// Whether it began at this instance.
     is_own: bool,
+    /// Time until which it is kept.
+    until: Duration,
 }
 
 impl History {
@@ -68,10 +70,11 @@
         let origin = Origin {
             software: software.to_owned(),
             is_own: true,
+            until,
         };
         let mut inner = self.inner.lock();
         inner.expire(now);
-        inner.insert(service, attempt, origin, until);
+        inner.insert(service, attempt, origin);
     }
 
     /// Adds the streams of a record that are not known yet. `is_own` is whether this
@@ -87,8 +90,12 @@
                         continue;
                     }
                     let software = software.clone();
-                    let origin = Origin { software, is_own };
-                    inner.insert(service, attempt, origin, until);
+                    let origin = Origin {
+                        software,
+                        is_own,
+                        until,
+                    };
+                    inner.insert(service, attempt, origin);
                 }
             }
         }
@@ -176,12 +183,12 @@
 }
 
 impl Inner {
-    fn insert(&mut self, service: &str, attempt: &str, origin: Origin, until: Duration) {
+    fn insert(&mut self, service: &str, attempt: &str, origin: Origin) {
         if attempt.len() > MAX_ID_BYTES {
             return;
         }
         let stream = (service.to_owned(), attempt.to_owned());
-        self.order.push_back((stream.clone(), until));
+        self.order.push_back((stream.clone(), origin.until));
         self.streams.insert(stream, origin);
     }
 
@@ -190,7 +197,11 @@
             if self.order.len() < MAX_STREAMS && now < *until {
                 return;
             }
-            self.streams.remove(stream);
+            // A stream that was taken up again has a later entry.
+            let is_last = |origin: &Origin| origin.until <= *until;
+            if self.streams.get(stream).is_some_and(is_last) {
+                self.streams.remove(stream);
+            }
             self.order.pop_front();
         }
     }
--- a/crates/gateway/tests/software.rs
+++ b/crates/gateway/tests/software.rs
@@ -120,3 +120,17 @@
     assert!(attempts.iter().map(String::len).sum::<usize>() <= 24 << 10);
     assert!(attempts.contains("29999") && !attempts.contains("15000"));
 }
+
+// Guards against a stream that is forgotten when the time of its first try is over, although
+// it goes on.
+#[test]
+fn a_stream_that_was_taken_up_is_kept_for_its_new_time() {
+    let history = History::default();
+    history.begin(SERVICE, "a", "v1", second(10), second(0));
+    history.begin(SERVICE, "a", "v1", second(19), second(9));
+    history.begin(SERVICE, "other", "v2", second(25), second(12));
+    let seen = versions(&["v1", "v2"]);
+    assert_eq!(history.origin(SERVICE, "a", &seen, true).unwrap(), "v1");
+    history.begin(SERVICE, "last", "v2", second(30), second(20));
+    assert_eq!(history.origin(SERVICE, "a", &seen, true), None);
+}
