A stream that a peer carried is known to the instance that passed it on

Callers saw: a stream that reached them through an instance without a path to the runners could not be taken up there after the peer had gone: 503, unknown origin.

Cause: only the instance that sends a request to a runner recorded the version of the stream; the one that passed the peer's response on knew nothing of it, and a take-up that was handed over went to a peer that had to find the origin anew.

Ruled out: the record in the store, which the peer writes each 250 ms: it does not help if the peer or its path to the store is gone before.

Change: a peer names the software version in its response, and the instance that hands a take-up over names the version it knows. Neither reaches callers or runners. Old builds ignore both.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -275,9 +275,13 @@
         self.is_in_flight = true;
         let gateway = Arc::clone(&self.gateway);
         let protocol = &*gateway.ports.protocol;
+        let offer = handover::Offer {
+            only,
+            software: self.excluded.software.as_deref(),
+        };
         let sending = gateway
             .handover
-            .send(protocol, &gateway.members, &self.exchange, only);
+            .send(protocol, &gateway.members, &self.exchange, offer);
         let outcome = sending.await;
         gateway.metrics.handover((&outcome).into());
         self.is_in_flight = false;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -62,6 +62,8 @@
     pub resumes: Option<id::Attempt>,
     /// Incarnation of the instance that has handed the request over, if one has.
     pub handed_over_by: Option<id::Incarnation>,
+    /// The only software version at which it may run, if that instance names one.
+    pub software: Option<id::Software>,
 }
 
 impl Call {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -46,6 +46,9 @@
     // Callers may send any header.
     call.handed_over_by
         .take_if(|from| !gateway.members.has_incarnation(from));
+    if call.handed_over_by.is_none() {
+        call.software = None;
+    }
     let reject = |reason| refuse(gateway, Some(&call), &Refusal::new(reason));
     if gateway.closing.is_cancelled() {
         let refusal = Refusal::new(Reason::Leaving).with_retry_after(Duration::ZERO);
@@ -113,12 +116,21 @@
             Response::from_parts(parts, Body::from(body))
         }
         Ok(RunnerResponse::Stream(stream)) => {
-            let runner = &stream.delivery.chosen.runner;
+            let runner = stream.delivery.chosen.runner.clone();
             stream_origin::record_stream(gateway, &exchange, runner.software());
-            relay::start(attempt, *stream)
+            let (mut parts, body) = relay::start(attempt, *stream).into_parts();
+            if !is_new {
+                let protocol = &gateway.ports.protocol;
+                protocol.set_software(&mut parts, runner.software());
+            }
+            Response::from_parts(parts, body)
         }
         Ok(RunnerResponse::Relayed(head, body)) => {
-            let parts = gateway.ports.protocol.response_head(&head);
+            let protocol = &gateway.ports.protocol;
+            if let Some(software) = protocol.software(&head) {
+                stream_origin::record_stream(gateway, &exchange, &software);
+            }
+            let parts = protocol.response_head(&head);
             Response::from_parts(parts, Body::Relayed(body))
         }
         Err(refusal) => refuse(gateway, Some(&exchange.call), &refusal),
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -23,7 +23,7 @@
 use crate::id;
 use crate::members::Members;
 use crate::pool::{Connection, Failure, Pool};
-use crate::protocol::Protocol;
+use crate::protocol::{self, Protocol};
 use crate::refusal::Reason;
 use crate::span::millis;
 
@@ -48,6 +48,15 @@
     Unknown(Reason),
 }
 
+/// Which peers may take a request, and how.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Offer<'a> {
+    /// The only peer that may take it; any may otherwise.
+    pub(crate) only: Option<&'a id::Instance>,
+    /// The only software version at which it may run, if there is one.
+    pub(crate) software: Option<&'a str>,
+}
+
 /// Hands requests of one instance over to its peers.
 #[derive(Debug)]
 pub(crate) struct Handover {
@@ -72,23 +81,23 @@
         }
     }
 
-    /// Offers the request to peers until one responds, or only to the one that is given.
+    /// Offers the request to peers until one responds, or only to the one that `offer` names.
     pub(crate) async fn send(
         &self,
         protocol: &dyn Protocol,
         members: &Members,
         exchange: &Exchange,
-        only: Option<&id::Instance>,
+        offer: Offer<'_>,
     ) -> Outcome {
         let mut peers = self.peers(members, &exchange.service);
-        peers.retain(|(peer, _)| only.is_none_or(|only| peer == only));
+        peers.retain(|(peer, _)| offer.only.is_none_or(|only| peer == only));
         for (peer, address) in peers.into_iter().take(MAX_OFFERS) {
             let remaining = exchange.remaining(self.clock.now());
             if remaining <= MIN_REMAINING {
                 return Outcome::Declined;
             }
-            let offer = self.offer(protocol, exchange, &peer, address);
-            let outcome = time::timeout(remaining.saturating_sub(RESPONSE_MARGIN), offer);
+            let offering = self.offer(protocol, exchange, (&peer, address), offer.software);
+            let outcome = time::timeout(remaining.saturating_sub(RESPONSE_MARGIN), offering);
             match outcome.await.unwrap_or(Outcome::Unknown(Reason::Timeout)) {
                 Outcome::Declined => self.record_declined(&peer, &exchange.service),
                 outcome => return outcome,
@@ -123,8 +132,8 @@
         &self,
         protocol: &dyn Protocol,
         exchange: &Exchange,
-        peer: &str,
-        address: SocketAddr,
+        (peer, address): (&str, SocketAddr),
+        software: Option<&str>,
     ) -> Outcome {
         let request = exchange.call.attempt.as_str();
         let mut connection = match self.pool.connect(peer, address).await {
@@ -139,7 +148,8 @@
             request, peer, service = exchange.service.as_str(), left_ms = millis(remaining);
             "request handed over"
         );
-        match self.transfer(protocol, exchange, &mut connection).await {
+        let transfer = self.transfer(protocol, exchange, &mut connection, software);
+        match transfer.await {
             Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
                 Outcome::Declined
             }
@@ -166,13 +176,18 @@
         protocol: &dyn Protocol,
         exchange: &Exchange,
         connection: &mut Connection,
+        software: Option<&str>,
     ) -> Result<hyper::Response<hyper::body::Incoming>, Failure> {
         let remaining = exchange
             .remaining(self.clock.now())
             .saturating_sub(RESPONSE_MARGIN);
         let body = exchange.body.clone();
-        let head =
-            protocol.encode_handover(&exchange.head, body.len(), remaining, &self.incarnation);
+        let handover = protocol::Handover {
+            from: &self.incarnation,
+            remaining,
+            software,
+        };
+        let head = protocol.encode_handover(&exchange.head, body.len(), &handover);
         let head = head.map_err(|error| {
             log::warn!(error:% = error; "failed to encode the head of a request for a peer");
             Failure::NotSent
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -25,6 +25,17 @@
     pub resume_after: Option<u64>,
 }
 
+/// Data that is added to a request when it is handed over to a peer.
+#[derive(Clone, Debug)]
+pub struct Handover<'a> {
+    /// Incarnation of the instance that hands the request over.
+    pub from: &'a str,
+    /// Time until the deadline.
+    pub remaining: Duration,
+    /// The only software version at which the request may run, if it takes up a stream.
+    pub software: Option<&'a str>,
+}
+
 /// Classification of a runner's response by its head.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -64,8 +75,8 @@
         dispatch: &Dispatch,
     ) -> Result<http::request::Parts>;
 
-    /// Builds the request head for a peer that serves the request instead of the instance
-    /// `from`. The headers of the caller are kept, except connection headers.
+    /// Builds the request head for a peer that serves the request. The headers of the caller
+    /// are kept, except connection headers.
     ///
     /// # Errors
     ///
@@ -74,10 +85,16 @@
         &self,
         head: &http::request::Parts,
         body_bytes: usize,
-        remaining: Duration,
-        from: &str,
+        handover: &Handover<'_>,
     ) -> Result<http::request::Parts>;
 
+    /// Returns the software version of the runner whose response a peer has passed on, if the
+    /// peer names it.
+    fn software(&self, head: &http::response::Parts) -> Option<id::Software>;
+
+    /// Names the software version of the runner to the peer that gets its response.
+    fn set_software(&self, head: &mut http::response::Parts, software: &str);
+
     /// Classifies the head of a runner's response to `call`.
     fn classify(&self, call: &Call, runner: &str, head: &http::response::Parts) -> Verdict;
 
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -27,6 +27,9 @@
     if exchange.call.resume_after.is_none() || !exchange.route.resumable {
         return Ok(None);
     }
+    if let Some(software) = &exchange.call.software {
+        return Ok(Some(software.clone()));
+    }
     if let Some(software) = recorded_origin(gateway, exchange) {
         return Ok(Some(software));
     }
@@ -117,7 +120,7 @@
     refusal.with_retry_after(left)
 }
 
-/// Records the version of a stream that `exchange` gets from a runner with `software`.
+/// Records that the caller of `exchange` gets its first event from a runner with `software`.
 pub(crate) fn record_stream(gateway: &Gateway, exchange: &Exchange, software: &str) {
     if !exchange.route.resumable {
         return;
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -359,6 +359,7 @@
     parts.insert(0, part("x".repeat(60_000)));
     let call = Call {
         handed_over_by: None,
+        software: None,
         attempt: "a".to_owned(),
         host: "h".to_owned(),
         path: "/".to_owned(),
