A stream has the version of its first event

Cause: the version of a stream was recorded with the first bytes of a response, before any event. A stream that broke off there began anew at another version, which nothing recorded, so that a take-up went to the first one.

Ruled out: the choice of a runner for a take-up, which keeps to what is recorded.

Change: the response of a runner is passed on from the end of its first event on (opening.rs). Until then the caller has nothing, so a break, a comment or half an event lets the request begin anew anywhere, and another response may take its place; from then on there is one version. A block of lines without data or an id is no event. A stream that goes on must be one of events, after the last one. Events may end their lines with CR or CRLF.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Resumes a stream that broke after the event `after` on another runner, which has the
-    /// same software version if there was an event.
+    /// Resumes a stream that broke after the event `after` on another runner of the same
+    /// software version.
     ///
     /// # Errors
     ///
@@ -117,19 +117,17 @@
     pub(crate) async fn resume(
         &mut self,
         runner: &Runner,
-        after: Option<u64>,
+        after: u64,
     ) -> Result<Box<Stream>, Refusal> {
         self.runs += 1;
         // The caller has received a part of the response from this instance.
         self.offers.to_owner = true;
         self.excluded.tried.insert(runner.id().clone());
-        if after.is_some() {
-            self.excluded.software = Some(runner.software().to_owned());
-        }
+        self.excluded.software = Some(runner.software().to_owned());
         if !self.may_repeat() {
             return Err(Refusal::new(Reason::Broken));
         }
-        self.resume_after = after;
+        self.resume_after = Some(after);
         match self.try_runners().await? {
             Response::Stream(stream) => Ok(stream),
             Response::Complete(..) | Response::Relayed(..) => Err(Refusal::new(Reason::BadAnswer)),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,9 @@
 /// Fraction of its time limit that a request may wait for a replica. The rest is
 /// reserved for the response to reach the caller before it leaves.
 const MAX_WAIT_FRACTION: f64 = 0.9;
+/// Time without the end of an event after which a stream that still sends bytes is
+/// broken off, as a multiple of the time after which its caller disconnects.
+const STALL_FACTOR: u32 = 2;
 
 /// A caller's request with its route, service and deadline.
 #[derive(Debug)]
@@ -50,6 +53,13 @@
         self.arrived + limit.mul_f64(MAX_WAIT_FRACTION)
     }
 
+    /// Time without the end of an event after which more bytes are no progress. A silent
+    /// stream is left to its caller, which disconnects sooner.
+    pub(crate) fn stall_timeout(&self) -> Duration {
+        let idle = self.route.idle_timeout;
+        idle.map_or(Duration::MAX, |idle| idle.saturating_mul(STALL_FACTOR))
+    }
+
     pub(crate) fn service(&self) -> Option<&Service> {
         self.environment.services.get(&self.service)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -116,6 +116,7 @@
 mod mesh;
 mod metrics;
 mod notice_log;
+mod opening;
 mod outage;
 mod outcome;
 mod pool;
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -29,7 +29,7 @@
 pub(crate) enum Response {
     /// A complete response, with head and body.
     Complete(Box<http::response::Parts>, Bytes),
-    /// A stream whose head and first chunk have arrived.
+    /// A stream whose head and first event have arrived.
     Stream(Box<Stream>),
     /// The response of a peer that the request was handed over to.
     Relayed(Box<http::response::Parts>, Relayed),
@@ -63,7 +63,7 @@
 pub(crate) struct Stream {
     pub(crate) delivery: Delivery,
     pub(crate) head: http::response::Parts,
-    /// First chunk; `None` if the stream is empty.
+    /// Bytes up to the end of the first event; `None` if the stream is empty.
     pub(crate) first: Option<Bytes>,
     pub(crate) body: Incoming,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,9 +4,8 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::{Response, http};
 use strum::Display;
 use tokio::sync::mpsc;
 
@@ -18,16 +17,10 @@
 use crate::registry::Runner;
 use crate::span::millis;
 use crate::sse::{Scanner, Splitter};
-use crate::{Error, Result, crash_report};
+use crate::{Error, Result, crash_report, opening};
 
-/// Media type of a body of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Number of chunks that are queued for a slow caller.
 const QUEUE: usize = 16;
-/// Time without the end of an event after which a stream that still sends bytes is
-/// broken off, as a multiple of the time after which its caller disconnects.
-const STALL_FACTOR: u32 = 2;
-
 /// How the relay of a stream ended.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -75,32 +68,6 @@
     }
 }
 
-/// Reads the first chunk of a stream, or `None` if the stream is empty.
-///
-/// # Errors
-///
-/// Fails if the body ends early, also at once if only the connection delimits it.
-pub(crate) async fn first(
-    head: &http::response::Parts,
-    body: &mut Incoming,
-) -> Result<Option<Bytes>> {
-    let first = next(body).await?;
-    if first.is_none() && Framing::from(head) == Framing::Connection {
-        return Err(Code::Broken("the connection ended before an event".to_owned()).into());
-    }
-    Ok(first)
-}
-
-/// Whether the body consists of events. Other bodies are only checked if nothing but the
-/// connection delimits them.
-fn has_events(head: &http::response::Parts) -> bool {
-    let content_type = head.headers.get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    let media_type = content_type.and_then(|value| value.split(';').next());
-    media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
-        || Framing::from(head) == Framing::Connection
-}
-
 struct Relay {
     attempt: Attempt,
     /// Holds back incomplete events, on routes whose streams may be resumed at
@@ -146,7 +113,7 @@
         let mut event_at = self.attempt.gateway.now();
         loop {
             let Some(bytes) = chunk else {
-                if has_events(&stream.head) && self.scanner.is_inside_event() {
+                if opening::has_events(&stream.head) && self.scanner.is_inside_event() {
                     let error = Code::Broken("the stream ended inside an event".to_owned());
                     self.record_break(&stream, &error.into());
                     return End::Broken;
@@ -155,10 +122,10 @@
             };
             self.received += 1;
             let now = self.attempt.gateway.now();
-            if self.scanner.ends_event(&bytes) {
+            if self.scanner.scan(&bytes).has_event {
                 event_at = now;
                 self.has_event = true;
-            } else if now.saturating_sub(event_at) > self.stall_timeout() {
+            } else if now.saturating_sub(event_at) > self.attempt.exchange.stall_timeout() {
                 let error = Code::Malformed("bytes without the end of an event".to_owned());
                 self.record_break(&stream, &error.into());
                 return End::Broken;
@@ -192,13 +159,6 @@
         }
     }
 
-    // Time without the end of an event after which more bytes are no progress. A silent
-    // stream is left to its caller, which disconnects sooner.
-    fn stall_timeout(&self) -> Duration {
-        let idle = self.attempt.exchange.route.idle_timeout;
-        idle.map_or(Duration::MAX, |idle| idle.saturating_mul(STALL_FACTOR))
-    }
-
     fn record_gap(&mut self, stream: &Stream, since: Duration) {
         let gateway = &self.attempt.gateway;
         let now = gateway.now();
@@ -251,8 +211,8 @@
             }
             None => None,
         };
-        let is_resumable = self.splitter.is_some() && (after.is_some() || self.bytes == 0);
-        if is_resumable {
+        // Without ids the position in the stream is not known.
+        if let Some(after) = after {
             match self.attempt.resume(runner, after).await {
                 Ok(stream) => {
                     log::info!(
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -1,12 +1,20 @@
 //! Splitting of a byte stream into server-sent events.
+//!
+//! A line ends with LF, CR or both. An empty line ends a block of lines. A block is an event
+//! if it has data or an id; other blocks, such as comments, are none.
 
 use bytes::{Bytes, BytesMut};
 
 use crate::Result;
 use crate::error::Code;
 
-const BOUNDARY: &[u8] = b"\n\n";
-const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data";
+const ID_FIELD: &[u8] = b"id";
+const FIELD_END: u8 = b':';
+/// Longest beginning of a line that tells its field, in bytes.
+const MAX_FIELD_BYTES: usize = DATA_FIELD.len() + 1;
+/// Consecutive ends of lines after which a block has ended.
+const BLOCK_ENDS: u8 = 2;
 /// Largest event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -14,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    scanner: Scanner,
     last_id: Option<u64>,
 }
 
@@ -24,18 +33,15 @@
     ///
     /// Fails if an event is larger than `MAX_EVENT_BYTES`.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes> {
+        let end = self.scanner.scan(bytes).block_end;
+        let buffered = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let end = find_last_boundary(&self.buffer);
-        let whole = self.buffer.split_to(end).freeze();
-        for line in whole.split(|byte| *byte == b'\n') {
-            if let Some(id) = line.strip_prefix(ID_FIELD) {
-                let id = std::str::from_utf8(id).ok();
-                self.last_id = id.and_then(|id| id.trim().parse().ok()).or(self.last_id);
-            }
-        }
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            return Err(Code::Malformed("event is too large".to_owned()).into());
-        }
+        let whole = match end {
+            0 => Bytes::new(),
+            end => self.buffer.split_to(buffered + end).freeze(),
+        };
+        self.last_id = ids(&whole).next_back().or(self.last_id);
+        check_size(self.buffer.len())?;
         Ok(whole)
     }
 
@@ -47,42 +53,96 @@
 
     /// Takes the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.scanner = Scanner::default();
         self.buffer.split().freeze()
     }
 }
 
-fn find_last_boundary(buffer: &[u8]) -> usize {
-    buffer
-        .windows(BOUNDARY.len())
-        .rposition(|window| window == BOUNDARY)
-        .map_or(0, |at| at + BOUNDARY.len())
+/// Fails if bytes without the end of an event are too many.
+///
+/// # Errors
+///
+/// Fails if `bytes` is more than `MAX_EVENT_BYTES`.
+pub(crate) fn check_size(bytes: usize) -> Result<()> {
+    if bytes > MAX_EVENT_BYTES {
+        return Err(Code::Malformed("event is too large".to_owned()).into());
+    }
+    Ok(())
+}
+
+/// Returns the ids of complete events, in their order.
+pub(crate) fn ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> + '_ {
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.filter_map(|line| {
+        let id = line.strip_prefix(ID_FIELD)?.strip_prefix(&[FIELD_END])?;
+        std::str::from_utf8(id).ok()?.trim().parse().ok()
+    })
+}
+
+/// What a scanner has found in bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Found {
+    /// Number of bytes up to the last end of a block, or 0 if none ends.
+    pub block_end: usize,
+    /// Whether an event ends.
+    pub has_event: bool,
 }
 
 /// Finds the ends of events in a byte stream, without buffering it.
 #[derive(Debug, Default)]
 pub struct Scanner {
-    last: Option<u8>,
-    is_inside_event: bool,
+    /// Beginning of the current line.
+    line: Vec<u8>,
+    /// Consecutive ends of lines before this point, at most `BLOCK_ENDS`.
+    line_ends: u8,
+    /// Whether the last byte was CR, which LF may follow.
+    follows_cr: bool,
+    /// Whether the current block has data or an id.
+    is_event: bool,
+    /// Whether there were any bytes.
+    has_begun: bool,
 }
 
 impl Scanner {
-    /// Whether an event ends in `bytes`, which follow those of the last call.
-    pub fn ends_event(&mut self, bytes: &[u8]) -> bool {
-        let starts_with_end = self.last == Some(b'\n') && bytes.first() == Some(&b'\n');
-        let end = match find_last_boundary(bytes) {
-            0 => usize::from(starts_with_end),
-            end => end,
-        };
-        if !bytes.is_empty() {
-            self.is_inside_event = end < bytes.len();
+    /// Looks for ends in `bytes`, which follow those of the last call.
+    pub fn scan(&mut self, bytes: &[u8]) -> Found {
+        let mut found = Found::default();
+        for (at, byte) in bytes.iter().enumerate() {
+            self.has_begun = true;
+            let ends_pair = self.follows_cr && *byte == b'\n';
+            self.follows_cr = *byte == b'\r';
+            if !ends_pair {
+                match byte {
+                    b'\n' | b'\r' => found.has_event |= self.end_line(),
+                    byte => self.add(*byte),
+                }
+            }
+            if !self.is_inside_event() {
+                found.block_end = at + 1;
+            }
         }
-        self.last = bytes.last().copied().or(self.last);
-        end > 0
+        found
     }
 
     /// Whether the bytes so far end inside an event.
     #[must_use]
     pub fn is_inside_event(&self) -> bool {
-        self.is_inside_event
+        self.has_begun && self.line_ends < BLOCK_ENDS
+    }
+
+    fn add(&mut self, byte: u8) {
+        self.line_ends = 0;
+        if self.line.len() < MAX_FIELD_BYTES {
+            self.line.push(byte);
+        }
+    }
+
+    // Returns whether an event ends with the line.
+    fn end_line(&mut self) -> bool {
+        let field = self.line.split(|byte| *byte == FIELD_END).next();
+        self.is_event |= field.is_some_and(|field| field == DATA_FIELD || field == ID_FIELD);
+        self.line.clear();
+        self.line_ends = BLOCK_ENDS.min(self.line_ends + 1);
+        self.line_ends == BLOCK_ENDS && std::mem::take(&mut self.is_event)
     }
 }
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -13,6 +13,7 @@
 use crate::delivery::Delivery;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
+use crate::opening::Opening;
 use crate::outcome::{Outcome, Response, Stream};
 use crate::pool::Failure;
 use crate::protocol::{Dispatch, Verdict};
@@ -21,7 +22,7 @@
 use crate::route::Kind;
 use crate::selection::Chosen;
 use crate::span::millis;
-use crate::{crash_report, notice_log, notices, reach, relay};
+use crate::{crash_report, notice_log, notices, reach};
 
 /// Time reserved for returning the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
@@ -40,7 +41,7 @@
 
 impl Transfer<'_> {
     /// Sends the request to the chosen runner and waits for the response, or the first
-    /// chunk of a stream, until the deadline.
+    /// event of a stream, until the deadline.
     pub(crate) async fn run(&self, chosen: Chosen) -> Outcome {
         let exchange = self.exchange;
         let deadline = exchange.remaining(self.gateway.now());
@@ -253,20 +254,30 @@
         Outcome::Final(response)
     }
 
-    // Waits for the first chunk, so that a request whose stream breaks before it
-    // can still be sent to another runner.
+    // Waits for the first event. Until then the request can be sent to another runner.
     async fn open_stream(
         &self,
         mut delivery: Delivery,
         head: http::response::Parts,
         mut body: Incoming,
     ) -> Outcome {
+        let gateway = self.gateway;
         let runner = delivery.chosen.runner.id().clone();
-        match relay::first(&head, &mut body).await {
+        let call = &self.exchange.call;
+        let sent_at = delivery.sent_at;
+        let resumed_by_caller = call.resume_after.filter(|_| self.exchange.route.resumable);
+        let opening = Opening {
+            head: &head,
+            after: self.resume_after.or(resumed_by_caller),
+            is_resumed: self.resume_after.is_some(),
+            time: self.exchange.stall_timeout(),
+        };
+        let elapsed = || gateway.now().saturating_sub(sent_at);
+        match opening.read(&mut body, elapsed).await {
             Ok(first) => {
-                self.record_first_chunk(&mut delivery);
+                self.record_first_event(&mut delivery);
                 self.log_response(&runner, head.status.as_u16());
-                self.gateway.health.record_success(&runner);
+                gateway.health.record_success(&runner);
                 Outcome::Final(Response::Stream(Box::new(Stream {
                     delivery,
                     head,
@@ -276,21 +287,19 @@
             }
             Err(error) => {
                 log::info!(
-                    request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
-                    parts = self.exchange.call.shared_parts().join(","),
+                    request = call.attempt.as_str(), runner = runner.as_str(),
+                    parts = call.shared_parts().join(","),
                     error:% = error;
-                    "stream broke before its first chunk"
+                    "stream broke before its first event"
                 );
-                self.gateway
-                    .health
-                    .record_failure(&runner, self.gateway.now());
-                self.report_crash(&delivery.chosen.runner, delivery.sent_at);
+                gateway.health.record_failure(&runner, gateway.now());
+                self.report_crash(&delivery.chosen.runner, sent_at);
                 Outcome::Unknown(Reason::Broken)
             }
         }
     }
 
-    fn record_first_chunk(&self, delivery: &mut Delivery) {
+    fn record_first_event(&self, delivery: &mut Delivery) {
         delivery.guard.start_decoding();
         if let Some(target) = &self.exchange.call.target {
             let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -13,10 +13,10 @@
         let mut rest = bytes.as_slice();
         for cut in cuts {
             let (chunk, next) = rest.split_at(usize::from(cut % 4).min(rest.len()));
-            scanner.ends_event(chunk);
+            scanner.scan(chunk);
             rest = next;
         }
-        scanner.ends_event(rest);
+        scanner.scan(rest);
         let is_whole = bytes.is_empty() || bytes.ends_with(b"\n\n");
         scanner.is_inside_event() != is_whole
     }
