All shared parts of a prompt are suspected when a runner crashes

Cause: only the first 32 parts of a prompt were suspected. Ids of more than 128 bytes were left out, too.

Change: all parts but the last are suspected, a long id by its digest. What bounds them is the size of a head, and 4,096 suspects a crash. Log lines list 32 as before. The test on short ids asked for the fault; the new one asks for all parts, and for the bound of the log line.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,10 +5,10 @@
 
 use crate::id;
 
-/// Most parts of a prompt that are followed across requests.
-const MAX_SHARED_PARTS: usize = 32;
-/// Longest id of a part that is followed across requests, in bytes.
-const MAX_SHARED_ID_BYTES: usize = 128;
+/// Most parts of a prompt that are listed in a log line.
+const MAX_LISTED_PARTS: usize = 32;
+/// Longest id of a part that is listed in a log line, in bytes.
+const MAX_LISTED_ID_BYTES: usize = 128;
 
 /// Model and adapter that a request is for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -88,13 +88,19 @@
     }
 
     /// Returns the ids of the parts that other requests may share: all but the last, which
-    /// belongs to this request or its session. Callers choose the ids, so their number and
+    /// belongs to this request or its session.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &str> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|part| part.id.as_str())
+    }
+
+    /// Returns some of these ids for a log line. Callers choose the ids, so their number and
     /// length are limited.
     #[must_use]
-    pub fn shared_parts(&self) -> Vec<&str> {
-        let shared = self.parts.len().saturating_sub(1).min(MAX_SHARED_PARTS);
-        let ids = self.parts.iter().take(shared).map(|part| part.id.as_str());
-        ids.filter(|id| id.len() <= MAX_SHARED_ID_BYTES).collect()
+    pub fn listed_parts(&self) -> String {
+        let ids = self.shared_parts().take(MAX_LISTED_PARTS);
+        let ids: Vec<_> = ids.filter(|id| id.len() <= MAX_LISTED_ID_BYTES).collect();
+        ids.join(",")
     }
 
     /// Returns a hash of the attempt id, for the choice of a service.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -10,7 +10,7 @@
 use crate::suspect::Suspect;
 
 /// Most suspects of one crash.
-const MAX_SUSPECTS: usize = 192;
+const MAX_SUSPECTS: usize = 4096;
 
 /// Shortest time between two crashes that both count, unless the request was sent after the
 /// first of them. Runners that fail at the same time have another cause in common.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -78,11 +78,9 @@
 
     /// The shared parts of the prompt as what may crash a runner, in their order.
     pub(crate) fn suspected_parts(&self) -> impl Iterator<Item = Suspect> + '_ {
-        let parts = match self.engine() {
-            Some(_) => self.call.shared_parts(),
-            None => Vec::new(),
-        };
-        parts.into_iter().map(|part| Suspect::Part(part.to_owned()))
+        let has_engine = self.engine().is_some();
+        let parts = self.call.shared_parts().filter(move |_| has_engine);
+        parts.map(Suspect::part)
     }
 
     /// Maximum number of tokens that the request takes up in the KV cache of a runner.
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -1,11 +1,12 @@
 //! What may have crashed a runner.
 
-use almondbank_wire::mesh;
+use almondbank_wire::{digest, mesh};
 
 use crate::error::Code;
 use crate::{Error, id};
 
-/// Longest fingerprint or part id that another instance may send, in bytes.
+/// Longest fingerprint or part id that is kept as it is, or that another instance may send, in
+/// bytes.
 const MAX_ID_BYTES: usize = 128;
 
 /// What may have crashed a runner: a request, which may come again, or a part of its prompt,
@@ -19,6 +20,15 @@
 }
 
 impl Suspect {
+    /// The part of a prompt with this id, or with a digest of the id if that is long.
+    #[must_use]
+    pub fn part(id: &str) -> Self {
+        if id.len() <= MAX_ID_BYTES {
+            return Self::Part(id.to_owned());
+        }
+        Self::Part(digest::sha256(id))
+    }
+
     /// Whether it is a request.
     #[must_use]
     pub fn is_request(&self) -> bool {
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -102,7 +102,7 @@
             Err(Failure::Broken(error)) => {
                 log::info!(
                     request = exchange.call.attempt.as_str(), runner = runner.as_str(),
-                    parts = exchange.call.shared_parts().join(","),
+                    parts = exchange.call.listed_parts(),
                     error:% = error, reused = connection.is_reused;
                     "connection to the runner failed before a response"
                 );
@@ -288,7 +288,7 @@
             Err(error) => {
                 log::info!(
                     request = call.attempt.as_str(), runner = runner.as_str(),
-                    parts = call.shared_parts().join(","),
+                    parts = call.listed_parts(),
                     error:% = error;
                     "stream broke before its first event"
                 );
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -353,7 +353,7 @@
 }
 
 #[test]
-fn only_some_short_ids_of_a_request_are_followed() {
+fn all_shared_parts_of_a_request_are_followed_and_some_short_ids_logged() {
     let part = |id: String| Part { id, tokens: 1 };
     let mut parts: Vec<_> = (0..10_000).map(|number| part(number.to_string())).collect();
     parts.insert(0, part("x".repeat(60_000)));
@@ -371,9 +371,14 @@
         resume_after: None,
         resumes: None,
     };
-    let shared = call.shared_parts();
-    assert!(shared.len() < 40 && shared.iter().all(|id| id.len() < 200));
-    assert_eq!(shared.first(), Some(&"0"));
+    let listed = call.listed_parts();
+    assert!(listed.len() < 200 && listed.starts_with("0,1,2,"));
+    let suspects: Vec<_> = call.shared_parts().map(Suspect::part).collect();
+    assert_eq!(suspects.len(), 10_000);
+    let is_short = |suspect: &Suspect| matches!(suspect, Suspect::Part(id) if id.len() <= 128);
+    assert!(suspects.iter().all(is_short));
+    assert_eq!(suspects.last(), Some(&Suspect::part("9998")));
+    assert_ne!(suspects[0], Suspect::part(&"x".repeat(60_001)));
 }
 
 #[test]
