--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -255,9 +255,7 @@
         let suspect = crash_report::suspect(gateway, &self.exchange)?;
         self.offers.to_owner = true;
         let own = &gateway.settings.instance;
-        let peers = gateway.members.serving(gateway.now()).into_iter();
-        let instances = peers.map(|peer| peer.instance).chain([own.clone()]);
-        trial::owner(&suspect, instances).filter(|owner| owner != own)
+        trial::owner(&suspect, gateway.serving_instances()).filter(|owner| owner != own)
     }
 
     // Starts to send the request, unless it may crash runners and the outcome of another copy
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,6 +1,6 @@
 //! Ends of runs of runners, and what may have caused them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use almondbank_wire::mesh;
@@ -51,9 +51,19 @@
         }
     }
 
+    /// Leaves out all but some suspects.
+    pub(crate) fn only(mut self, suspects: &[Suspect]) -> Self {
+        let suspects: BTreeSet<_> = suspects.iter().collect();
+        self.suspicions
+            .retain(|suspicion| suspects.contains(&suspicion.suspect));
+        self
+    }
+
     /// Encodes the crash for other instances.
     pub(crate) fn encode(&self, now: Duration) -> mesh::Crash {
-        encode(&self.run, self.at, self.suspicions.iter(), now)
+        let suspicions = self.suspicions.iter();
+        let suspicions = suspicions.map(|suspicion| (&suspicion.suspect, suspicion.sent_at));
+        encode(&self.run, self.at, suspicions, now)
     }
 }
 
@@ -66,12 +76,20 @@
     pub sent_at: Duration,
 }
 
+/// What is known of a suspicion.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    sent_at: Duration,
+    /// Place in the order of the reports.
+    place: usize,
+}
+
 /// The end of a run, from all reports of it.
 #[derive(Debug)]
 pub(crate) struct Crash {
     pub(crate) at: Duration,
-    /// What it counts against, in the order of the reports.
-    pub(crate) suspicions: Vec<Suspicion>,
+    /// What it counts against.
+    suspicions: BTreeMap<Suspect, Known>,
     /// Suspects that runners have responded to.
     dismissed: BTreeSet<Suspect>,
     /// What is in quarantine for this crash.
@@ -88,7 +106,7 @@
     pub(crate) fn new(at: Duration) -> Self {
         Self {
             at,
-            suspicions: Vec::new(),
+            suspicions: BTreeMap::new(),
             dismissed: BTreeSet::new(),
             explained_by: None,
             is_expected: false,
@@ -105,10 +123,26 @@
         now: Duration,
     ) -> mesh::Crash {
         let suspicions = self.suspicions.iter();
-        let suspicions = suspicions.filter(|suspicion| included(&suspicion.suspect));
+        let mut suspicions: Vec<_> = suspicions
+            .filter(|(suspect, _)| included(suspect))
+            .collect();
+        suspicions.sort_by_key(|(_, known)| known.place);
+        let suspicions = suspicions
+            .into_iter()
+            .map(|(suspect, known)| (suspect, known.sent_at));
         encode(run, self.at, suspicions, now)
     }
 
+    /// What it counts against.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = &Suspect> {
+        self.suspicions.keys()
+    }
+
+    /// Number of suspects that it counts or does not count against.
+    pub(crate) fn size(&self) -> usize {
+        self.suspicions.len() + self.dismissed.len()
+    }
+
     /// Whether it may have been caused by any of its suspects.
     pub(crate) fn is_open(&self) -> bool {
         self.explained_by.is_none() && !self.is_refuted
@@ -116,27 +150,23 @@
 
     /// Counts against a suspect from now on; returns whether it did not before.
     pub(crate) fn suspect(&mut self, suspicion: &Suspicion) -> bool {
-        let known = self
-            .suspicions
-            .iter_mut()
-            .find(|known| known.suspect == suspicion.suspect);
-        if let Some(known) = known {
+        let place = self.size();
+        if let Some(known) = self.suspicions.get_mut(&suspicion.suspect) {
             known.sent_at = known.sent_at.max(suspicion.sent_at);
             return false;
         }
-        let is_new =
-            self.suspicions.len() < MAX_SUSPECTS && !self.dismissed.contains(&suspicion.suspect);
+        let is_new = place < MAX_SUSPECTS && !self.dismissed.contains(&suspicion.suspect);
         if is_new {
-            self.suspicions.push(suspicion.clone());
+            let sent_at = suspicion.sent_at;
+            let known = Known { sent_at, place };
+            self.suspicions.insert(suspicion.suspect.clone(), known);
         }
         is_new
     }
 
     /// No longer counts against a suspect that a runner has responded to.
     pub(crate) fn dismiss(&mut self, suspect: &Suspect) {
-        let before = self.suspicions.len();
-        self.suspicions.retain(|known| known.suspect != *suspect);
-        if self.suspicions.len() < before {
+        if self.suspicions.remove(suspect).is_some() {
             self.dismissed.insert(suspect.clone());
         }
     }
@@ -144,21 +174,20 @@
     /// Returns when the request with a suspect was sent to the run, if the crash counts
     /// against it.
     pub(crate) fn sent_at(&self, suspect: &Suspect) -> Option<Duration> {
-        let mut suspicions = self.suspicions.iter();
-        let suspicion = suspicions.find(|known| known.suspect == *suspect);
-        suspicion.map(|suspicion| suspicion.sent_at)
+        let known = self.suspicions.get(suspect);
+        known.map(|known| known.sent_at)
     }
 }
 
 fn encode<'a>(
     run: &Run,
     at: Duration,
-    suspicions: impl Iterator<Item = &'a Suspicion>,
+    suspicions: impl Iterator<Item = (&'a Suspect, Duration)>,
     now: Duration,
 ) -> mesh::Crash {
-    let suspicions = suspicions.map(|suspicion| mesh::Suspicion {
-        suspect: (&suspicion.suspect).into(),
-        held_ms: millis(at.saturating_sub(suspicion.sent_at)),
+    let suspicions = suspicions.map(|(suspect, sent_at)| mesh::Suspicion {
+        suspect: suspect.into(),
+        held_ms: millis(at.saturating_sub(sent_at)),
     });
     mesh::Crash {
         runner: run.0.clone(),
--- a/crates/gateway/src/crash_report.rs
+++ b/crates/gateway/src/crash_report.rs
@@ -13,15 +13,10 @@
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::suspect::Suspect;
+use crate::trial;
 
-/// How far a runner had come with a request when its connection broke.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Progress {
-    /// It had not begun to respond.
-    None,
-    /// It had responded with a part of a stream.
-    Stream,
-}
+/// Time for which a runner begins to respond to a request.
+const BEGINNING: Duration = Duration::from_secs(3);
 
 /// Returns the refusal of a request that crashes runners, or that has a prompt part which
 /// does.
@@ -31,12 +26,26 @@
     }
     let mut suspects = vec![exchange.as_suspect()];
     suspects.extend(exchange.suspected_parts());
-    let (suspect, remaining) = gateway.quarantine.remaining(&suspects, now)?;
+    let quarantine = &gateway.quarantine;
+    let attempt = exchange.call.attempt.as_str();
+    let held = quarantine.held(&suspects, attempt, now);
+    let (suspect, remaining) = held.first()?;
+    if held.len() == 1 && quarantine.is_trial_due(suspect, now) && is_owner(gateway, suspect) {
+        log::info!(request = attempt, suspect:? = suspect; "sent to try a part in quarantine");
+        quarantine.start_trial(suspect, attempt, now);
+        return None;
+    }
     let reason = match suspect {
         Suspect::Request(_) => Reason::CrashingRequest,
         Suspect::Part(_) => Reason::CrashingPart,
     };
-    Some(Refusal::new(reason).with_retry_after(remaining))
+    Some(Refusal::new(reason).with_retry_after(*remaining))
+}
+
+// Whether this instance is the one that decides for all about a suspect.
+fn is_owner(gateway: &Gateway, suspect: &Suspect) -> bool {
+    let own = &gateway.settings.instance;
+    trial::owner(suspect, gateway.serving_instances()).is_none_or(|owner| owner == *own)
 }
 
 /// Whether the request may wait for a runner. Copies of a request that is about to be
@@ -56,23 +65,24 @@
     quarantine.is_suspected(&suspect).then_some(suspect)
 }
 
-/// Reports that the connection to `runner` broke before it had responded to the request,
-/// which was sent at `sent_at`.
+/// Reports that the connection to `runner` broke before it had responded completely to the
+/// request, which was sent at `sent_at`. `begun_at` is when it began to respond, if it had.
 pub(crate) fn report_crash(
     gateway: &Gateway,
     exchange: &Exchange,
     runner: &Runner,
     sent_at: Duration,
-    progress: Progress,
+    begun_at: Option<Duration>,
 ) {
+    let now = gateway.now();
     let mut suspects = vec![exchange.as_suspect()];
-    if progress == Progress::None {
+    if begun_at.is_none_or(|begun_at| now.saturating_sub(begun_at) < BEGINNING) {
         suspects.extend(exchange.suspected_parts());
     }
-    let now = gateway.now();
     log::info!(
         request = exchange.call.attempt.as_str(), runner = runner.id().as_str(),
-        born_ms = runner.registration.born_ms, suspects:? = suspects;
+        born_ms = runner.registration.born_ms, suspects = suspects.len(),
+        last:? = suspects.last();
         "runner may have crashed"
     );
     let suspicion = |suspect| Suspicion { suspect, sent_at };
@@ -85,7 +95,7 @@
     log_change(&change, &gateway.settings.instance);
     if change.is_new {
         let quarantine = mesh::Quarantine {
-            crashes: vec![report.encode(now)],
+            crashes: vec![report.only(&change.counted).encode(now)],
             ..mesh::Quarantine::default()
         };
         gateway.broadcast(mesh::Message::Quarantine(quarantine), Origin::Own);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -212,6 +212,13 @@
         self.clock.now()
     }
 
+    /// Returns all instances that serve callers, this one included.
+    pub(crate) fn serving_instances(&self) -> impl Iterator<Item = id::Instance> {
+        let peers = self.members.serving(self.now()).into_iter();
+        let own = self.settings.instance.clone();
+        peers.map(|peer| peer.instance).chain([own])
+    }
+
     /// Returns the active environment, if any is known.
     pub(crate) fn environment(&self) -> Option<Arc<Environment>> {
         let document = self.document.read();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,10 +1,16 @@
 //! Detects requests and prompt parts that crash runners, and keeps them from the runners.
 //!
 //! When a run of a runner ends, each request that it broke is suspected, and each shared
-//! part of the prompts that it had not begun to respond to. What runs of runners ended with
-//! several times, and no runner responded to meanwhile, is quarantined. The instances
-//! exchange the crashes, since a request comes again at any of them.
+//! part of the prompts that it had begun to respond to lately or not yet. What runs of runners
+//! ended with several times, and no runner responded to meanwhile, is quarantined. The
+//! instances exchange the crashes, since a request comes again at any of them.
+//!
+//! Sound parts break together with the one that crashes runners. So of several parts that
+//! may have caused the same crashes the one is taken that no runner has responded to, or not
+//! for the longest time, and one request with a part in quarantine is let through after a
+//! while: a response to it ends the quarantine.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -13,7 +19,9 @@
 use tokio::sync::Notify;
 
 use crate::bounded::make_room;
-use crate::crash::{self, Crash, Report, Run};
+use crate::confinement::Confinement;
+use crate::crash::{self, Crash, Report, Run, Suspicion};
+use crate::soundness::Soundness;
 use crate::span::millis;
 use crate::suspect::Suspect;
 
@@ -27,14 +35,19 @@
 const QUARANTINE_TTL: Duration = Duration::from_mins(10);
 /// Time after a response to a suspect in which crashes do not count against it.
 const SOUND_TTL: Duration = Duration::from_secs(2);
+/// Time for which a response to a suspect speaks for it, if other suspects had none.
+const RESPONSE_TTL: Duration = Duration::from_mins(2);
+/// Longest time from a response to a suspect until its last crash in which an instance that
+/// does not know of enough crashes in between takes it for sound.
+const OBJECTION_TIME: Duration = Duration::from_secs(10);
 /// Most crashes that are kept; the oldest makes room.
 const MAX_CRASHES: usize = 256;
 /// Most suspects in quarantine; the one whose last crash is the oldest makes room.
 const MAX_QUARANTINED: usize = 1024;
 /// Most suspects in quarantine in a record, and most suspicions of crashes, the latest.
 const MAX_RECORDED: usize = 192;
-/// Most suspects of which recent responses are kept.
-const MAX_SOUND: usize = 4096;
+/// Most suspicions of all crashes; the oldest crash makes room.
+const MAX_SUSPICIONS: usize = 1 << 16;
 
 /// Crashes of runners and what is quarantined for them.
 #[derive(Debug, Default)]
@@ -54,6 +67,8 @@
     pub quarantined: Vec<Suspect>,
     /// What an instance has quarantined although runners respond to it or have not ended.
     pub sound: Vec<Suspect>,
+    /// What the crash counts against from now on.
+    pub counted: Vec<Suspect>,
 }
 
 /// What is recorded outside of the instance.
@@ -70,10 +85,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     crashes: BTreeMap<Run, Crash>,
-    /// What is in quarantine, with the time of its last crash.
-    quarantined: BTreeMap<Suspect, Duration>,
-    /// What a runner responded to lately, with the time.
-    sound: BTreeMap<Suspect, Duration>,
+    quarantined: BTreeMap<Suspect, Confinement>,
+    soundness: Soundness,
     /// Whether a request is suspected or in quarantine, as of the last change or expiry.
     suspects_requests: bool,
     /// Runs for which something was put into quarantine, since the last check.
@@ -94,20 +107,39 @@
         self.inner.lock().suspects_requests
     }
 
-    /// Returns the first of `suspects` that is in quarantine, if any is, with the time for
-    /// which it is not sent to runners.
+    /// Returns those of `suspects` that are in quarantine, each with the time for which it is
+    /// not sent to runners. The request of `attempt` may be sent with a part that it tries.
     #[must_use]
-    pub fn remaining<'a>(
+    pub fn held<'a>(
         &self,
         suspects: &'a [Suspect],
+        attempt: &str,
         now: Duration,
-    ) -> Option<(&'a Suspect, Duration)> {
+    ) -> Vec<(&'a Suspect, Duration)> {
         let inner = self.inner.lock();
-        suspects.iter().find_map(|suspect| {
-            let last = inner.quarantined.get(suspect)?;
-            let left = (*last + QUARANTINE_TTL).saturating_sub(now);
-            (!left.is_zero()).then_some((suspect, left))
-        })
+        let held = suspects.iter().filter_map(|suspect| {
+            let confinement = inner.quarantined.get(suspect)?;
+            let left = (confinement.at + QUARANTINE_TTL).saturating_sub(now);
+            let is_held = !left.is_zero() && !confinement.is_tried_by(attempt);
+            is_held.then_some((suspect, left))
+        });
+        held.collect()
+    }
+
+    /// Whether a request may be sent to find out whether the part in quarantine crashes
+    /// runners.
+    #[must_use]
+    pub fn is_trial_due(&self, part: &Suspect, now: Duration) -> bool {
+        let inner = self.inner.lock();
+        let confinement = inner.quarantined.get(part);
+        !part.is_request() && confinement.is_some_and(|confinement| confinement.is_due(now))
+    }
+
+    /// Lets the request of `attempt` through, although it has the part.
+    pub fn start_trial(&self, part: &Suspect, attempt: &str, now: Duration) {
+        if let Some(confinement) = self.inner.lock().quarantined.get_mut(part) {
+            confinement.start_trial(attempt, now);
+        }
     }
 
     /// Whether a run of a runner may have ended because of the request.
@@ -167,7 +199,7 @@
                 continue;
             };
             let at = now.saturating_sub(Duration::from_millis(crashing.age_ms));
-            if inner.is_sound(&suspect, at) {
+            if inner.objects_to(&suspect, at, now) {
                 change.sound.push(suspect);
             } else if !inner.quarantined.contains_key(&suspect) {
                 inner.quarantine(&suspect, at);
@@ -294,17 +326,18 @@
             .retain(|_, crash| is_recent(crash.at, CRASH_TTL));
         inner
             .quarantined
-            .retain(|_, at| is_recent(*at, QUARANTINE_TTL));
-        inner.sound.retain(|_, at| is_recent(*at, SOUND_TTL));
+            .retain(|_, confinement| is_recent(confinement.at, QUARANTINE_TTL));
+        inner.soundness.expire(now.saturating_sub(RESPONSE_TTL));
         inner.suspects_requests = inner.find_request();
     }
 }
 
 impl Inner {
     fn crashing(&self, now: Duration) -> Vec<mesh::Crashing> {
-        let crashing = self.quarantined.iter().map(|(suspect, at)| mesh::Crashing {
+        let quarantined = self.quarantined.iter();
+        let crashing = quarantined.map(|(suspect, confinement)| mesh::Crashing {
             suspect: suspect.into(),
-            age_ms: millis(now.saturating_sub(*at)),
+            age_ms: millis(now.saturating_sub(confinement.at)),
         });
         crashing.collect()
     }
@@ -329,8 +362,7 @@
         let mut once = BTreeSet::new();
         let mut again = BTreeSet::new();
         for crash in self.crashes.values().filter(|crash| crash.is_open()) {
-            let suspects = crash.suspicions.iter().map(|suspicion| &suspicion.suspect);
-            for suspect in suspects.filter(|suspect| suspect.is_request()) {
+            for suspect in crash.suspects().filter(|suspect| suspect.is_request()) {
                 if !once.insert(suspect) {
                     again.insert(suspect);
                 }
@@ -342,10 +374,10 @@
 
     fn find_request(&self) -> bool {
         self.quarantined.keys().any(Suspect::is_request)
-            || self.crashes.values().any(|crash| {
-                let mut suspicions = crash.suspicions.iter();
-                suspicions.any(|suspicion| suspicion.suspect.is_request())
-            })
+            || self
+                .crashes
+                .values()
+                .any(|crash| crash.suspects().any(Suspect::is_request))
     }
 
     fn add_crash(&mut self, report: &Report, now: Duration, change: &mut Change) {
@@ -353,40 +385,119 @@
         if now.saturating_sub(at) >= CRASH_TTL {
             return;
         }
-        let suspects = || report.suspicions.iter().map(|known| &known.suspect);
-        if let Some(suspect) = suspects().find(|suspect| self.quarantined.contains_key(suspect)) {
-            let last = self.quarantined.entry(suspect.clone()).or_insert(at);
-            *last = at.max(*last);
-            self.explain(report.run.clone(), at, suspect.clone());
-            return;
-        }
-        let counted: Vec<_> = report
+        let held = report
             .suspicions
             .iter()
-            .filter(|suspicion| !self.is_sound(&suspicion.suspect, at))
+            .find(|known| self.quarantined.contains_key(&known.suspect));
+        if let Some(held) = held {
+            self.add_expected(report, held, change);
+            return;
+        }
+        for suspicion in &self.count(report) {
+            self.suspects_requests |= suspicion.is_request();
+            change.is_new = true;
+            change.counted.push(suspicion.clone());
+        }
+        if let Some(suspect) = self.find_cause(report) {
+            self.quarantine(&suspect, at);
+            change.quarantined.push(suspect);
+        }
+    }
+
+    // Adds a crash that a suspect in quarantine explains. It counts against the others if
+    // that proves to be sound.
+    fn add_expected(&mut self, report: &Report, held: &Suspicion, change: &mut Change) {
+        let at = report.at;
+        if let Some(confinement) = self.quarantined.get_mut(&held.suspect)
+            && confinement.record_crash(held.sent_at, at)
+        {
+            change.is_new = true;
+            change.counted.push(held.suspect.clone());
+        }
+        self.explain(report.run.clone(), at, held.suspect.clone());
+        if !held.suspect.is_request() {
+            self.count(report);
+        }
+    }
+
+    // Counts a crash against its suspects; returns those that it did not count against before.
+    fn count(&mut self, report: &Report) -> Vec<Suspect> {
+        let at = report.at;
+        let is_sound = |suspicion: &&Suspicion| self.is_sound(&suspicion.suspect, at);
+        let suspicions = report.suspicions.iter();
+        let counted: Vec<_> = suspicions
+            .filter(|suspicion| !is_sound(suspicion))
             .collect();
         make_room(&mut self.crashes, MAX_CRASHES, &report.run, |crash| {
             crash.at
         });
         let known = self.crashes.entry(report.run.clone());
         let known = known.or_insert_with(|| Crash::new(at));
-        for suspicion in counted {
-            change.is_new |= known.suspect(suspicion);
-            self.suspects_requests |= suspicion.suspect.is_request();
-        }
-        // A request explains a crash better than its parts, and later parts, which fewer
-        // requests share, better than earlier ones.
-        let requests = suspects().filter(|suspect| suspect.is_request());
-        let parts = suspects().rev().filter(|suspect| !suspect.is_request());
-        let mut by_weight = requests.chain(parts);
-        if let Some(suspect) =
-            by_weight.find(|suspect| self.crash_count(suspect, at) >= MIN_CRASHES)
+        let new = counted
+            .into_iter()
+            .filter(|suspicion| known.suspect(suspicion));
+        let new = new.map(|suspicion| suspicion.suspect.clone()).collect();
+        self.drop_oldest();
+        new
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.crashes.len() > 1
+            && self.crashes.values().map(Crash::size).sum::<usize>() > MAX_SUSPICIONS
         {
-            self.quarantine(suspect, at);
-            change.quarantined.push(suspect.clone());
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            let Some(oldest) = oldest.map(|(run, _)| run.clone()) else {
+                return;
+            };
+            self.crashes.remove(&oldest);
         }
     }
 
+    // Returns what is to be quarantined after the crash. A request explains it better than the
+    // parts of its prompt.
+    fn find_cause(&self, report: &Report) -> Option<Suspect> {
+        let at = report.at;
+        let has_cause = |suspect: &&Suspect| self.crash_count(suspect, at) >= MIN_CRASHES;
+        let suspects = report.suspicions.iter().map(|known| &known.suspect);
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            suspects.partition(|suspect| suspect.is_request());
+        if let Some(request) = requests.into_iter().find(has_cause) {
+            return Some(request.clone());
+        }
+        // Later parts are shared by fewer requests than earlier ones.
+        let parts = parts.into_iter().rev().filter(has_cause);
+        let cause = parts.min_by_key(|part| (self.soundness.last(part), self.fewer(part, at)))?;
+        match self.less_sound(cause, at) {
+            Some((_, count)) if count < MIN_CRASHES => None,
+            Some((other, _)) => Some(other.clone()),
+            None => Some(cause.clone()),
+        }
+    }
+
+    fn fewer(&self, suspect: &Suspect, at: Duration) -> Reverse<usize> {
+        Reverse(self.crash_count(suspect, at))
+    }
+
+    // Returns a part that broke in the same crashes as `cause`, or in all but the last one,
+    // which not all instances may have reported, and that runners have not responded to for a
+    // longer time, with its number of crashes.
+    fn less_sound(&self, cause: &Suspect, at: Duration) -> Option<(&Suspect, usize)> {
+        let last = self.soundness.last(cause)?;
+        let min_count = self.crash_count(cause, at).saturating_sub(1);
+        let crashes = self.crashes.values();
+        let crashes = crashes.filter(|crash| crash.is_open() && crash.sent_at(cause).is_some());
+        let parts = crashes.flat_map(|crash| crash.suspects().filter(|part| !part.is_request()));
+        let others: BTreeSet<_> = parts
+            .filter(|part| self.soundness.last(part).is_none_or(|other| other < last))
+            .collect();
+        let counts = others
+            .into_iter()
+            .map(|part| (part, self.crash_count(part, at)));
+        counts
+            .filter(|(_, count)| *count >= min_count)
+            .max_by_key(|(part, count)| (*count, Reverse(self.soundness.last(part))))
+    }
+
     // Number of crashes until `now` that count against a suspect.
     fn crash_count(&self, suspect: &Suspect, now: Duration) -> usize {
         let ttl = match suspect {
@@ -424,8 +535,11 @@
 
     // What the suspect explains no longer counts against others.
     fn quarantine(&mut self, suspect: &Suspect, at: Duration) {
-        make_room(&mut self.quarantined, MAX_QUARANTINED, suspect, |at| *at);
-        self.quarantined.insert(suspect.clone(), at);
+        make_room(&mut self.quarantined, MAX_QUARANTINED, suspect, |known| {
+            known.at
+        });
+        let confinement = Confinement::new(at);
+        self.quarantined.insert(suspect.clone(), confinement);
         self.suspects_requests |= suspect.is_request();
         for (run, crash) in &mut self.crashes {
             if crash.sent_at(suspect).is_none() {
@@ -442,9 +556,10 @@
     fn release(&mut self, suspect: &Suspect) {
         self.quarantined.remove(suspect);
         for crash in self.crashes.values_mut() {
-            crash
-                .explained_by
-                .take_if(|explained_by| explained_by == suspect);
+            let explained_by = &mut crash.explained_by;
+            if explained_by.take_if(|cause| cause == suspect).is_some() {
+                crash.is_expected = false;
+            }
         }
     }
 
@@ -459,17 +574,28 @@
 
     // Whether a runner responded to the suspect shortly before `at` or later.
     fn is_sound(&self, suspect: &Suspect, at: Duration) -> bool {
-        let sound_at = self.sound.get(suspect);
-        sound_at.is_some_and(|sound_at| at < *sound_at + SOUND_TTL)
+        let sound_at = self.soundness.last(suspect);
+        sound_at.is_some_and(|sound_at| at < sound_at + SOUND_TTL)
+    }
+
+    // Whether a suspect that another instance has quarantined after a crash at `at` is sound as
+    // far as this one knows.
+    fn objects_to(&self, suspect: &Suspect, at: Duration, now: Duration) -> bool {
+        let Some(sound_at) = self.soundness.last(suspect) else {
+            return false;
+        };
+        let is_recent = at < sound_at + OBJECTION_TIME;
+        self.is_sound(suspect, at) || (is_recent && self.crash_count(suspect, now) < MIN_CRASHES)
     }
 
     // Records a response to a suspect; returns whether it was in quarantine.
     fn dismiss(&mut self, suspect: &Suspect, now: Duration) -> bool {
-        make_room(&mut self.sound, MAX_SOUND, suspect, |at| *at);
-        self.sound.insert(suspect.clone(), now);
+        self.soundness.record(suspect, now);
         for crash in self.crashes.values_mut() {
             crash.dismiss(suspect);
         }
-        self.quarantined.remove(suspect).is_some()
+        let was_held = self.quarantined.contains_key(suspect);
+        self.release(suspect);
+        was_held
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,6 @@
 
 use crate::attempt::Attempt;
 use crate::body::{Body, Chunk};
-use crate::crash_report::Progress;
 use crate::error::Code;
 use crate::outcome::{Framing, Stream};
 use crate::registry::Runner;
@@ -42,7 +41,7 @@
         attempt,
         chunks,
         bytes: 0,
-        received: 0,
+        begun_at: Duration::ZERO,
         has_event: false,
         framing: Framing::from(&stream.head),
         longest_gap: Duration::ZERO,
@@ -76,8 +75,8 @@
     scanner: Scanner,
     chunks: mpsc::Sender<Result<Chunk>>,
     bytes: usize,
-    /// Number of chunks that the current runner has sent.
-    received: usize,
+    /// Time of the first event of the current runner.
+    begun_at: Duration,
     /// Whether a runner has sent a whole event.
     has_event: bool,
     /// What delimits the body of the current runner's response.
@@ -107,7 +106,7 @@
     // returns, so that the runner stops before another one resumes the stream.
     async fn relay_stream(&mut self, mut stream: Box<Stream>) -> End {
         let mut chunk = stream.first.take();
-        self.received = 0;
+        self.begun_at = self.attempt.gateway.now();
         self.framing = Framing::from(&stream.head);
         self.scanner = Scanner::default();
         let mut event_at = self.attempt.gateway.now();
@@ -120,7 +119,6 @@
                 }
                 return self.complete(*stream).await;
             };
-            self.received += 1;
             let now = self.attempt.gateway.now();
             if self.scanner.scan(&bytes).has_event {
                 event_at = now;
@@ -252,14 +250,10 @@
         );
         let gateway = &self.attempt.gateway;
         gateway.health.record_failure(runner, gateway.now());
-        let progress = match self.received {
-            0 | 1 => Progress::None,
-            _ => Progress::Stream,
-        };
         let exchange = &self.attempt.exchange;
         let delivery = &stream.delivery;
         let (runner, sent_at) = (&delivery.chosen.runner, delivery.sent_at);
-        crash_report::report_crash(gateway, exchange, runner, sent_at, progress);
+        crash_report::report_crash(gateway, exchange, runner, sent_at, Some(self.begun_at));
     }
 
     fn log_end(&self, end: End) {
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -9,7 +9,6 @@
 use hyper::{Request, http};
 use tokio::time;
 
-use crate::crash_report::Progress;
 use crate::delivery::Delivery;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
@@ -309,8 +308,7 @@
     }
 
     fn report_crash(&self, runner: &Runner, sent_at: Duration) {
-        let progress = Progress::None;
-        crash_report::report_crash(self.gateway, self.exchange, runner, sent_at, progress);
+        crash_report::report_crash(self.gateway, self.exchange, runner, sent_at, None);
     }
 
     /// Counts and logs a response that is returned to the caller.
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -64,7 +64,7 @@
 }
 
 fn holds(tracker: &Tracker, suspect: Suspect, millis: u64) -> bool {
-    tracker.remaining(&[suspect], at(millis)).is_some()
+    !tracker.held(&[suspect], "", at(millis)).is_empty()
 }
 
 fn is_quarantined(tracker: &Tracker, id: &str, millis: u64) -> bool {
@@ -325,6 +325,141 @@
     assert_eq!(tracker.merge(&quarantine, at(0)), Change::default());
 }
 
+// Guards against the quarantine of sound parts: all requests share the first one, sound ones
+// those after the crashing one, and their crashes are reported first.
+#[test]
+fn of_parts_that_break_together_the_one_without_responses_is_quarantined() {
+    let tracker = Tracker::default();
+    respond(&tracker, &["all", "sound", "later"], 0);
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        let millis = 5_000 + 1_000 * index as u64;
+        crash(&tracker, &["all", "sound", "later"], runner, millis);
+        crash(&tracker, &["all", "later"], runner, millis + 1);
+        for id in ["all", "sound", "later", "crashing"] {
+            assert!(!is_quarantined(&tracker, id, millis + 1), "{id}");
+        }
+        crash(&tracker, &["all", "crashing", "later"], runner, millis + 2);
+    }
+    assert!(is_quarantined(&tracker, "crashing", 8_000));
+    for id in ["all", "sound", "later"] {
+        assert!(!is_quarantined(&tracker, id, 8_000), "{id}");
+    }
+}
+
+#[test]
+fn of_parts_with_responses_the_one_that_had_none_for_longer_is_quarantined() {
+    let tracker = Tracker::default();
+    respond(&tracker, &["all", "crashing", "later"], 0);
+    respond(&tracker, &["all", "later"], 500);
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        let millis = 5_000 + 1_000 * index as u64;
+        crash(&tracker, &["all", "later"], runner, millis);
+        crash(&tracker, &["all", "crashing", "later"], runner, millis + 1);
+    }
+    assert!(is_quarantined(&tracker, "crashing", 8_000));
+    assert!(!is_quarantined(&tracker, "all", 8_000));
+    assert!(!is_quarantined(&tracker, "later", 8_000));
+}
+
+fn quarantine_alone(tracker: &Tracker, id: &str) {
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        crash(tracker, &[id], runner, 1_000 * index as u64);
+    }
+    assert!(is_quarantined(tracker, id, 2_000));
+}
+
+// Guards against a wrong quarantine that nothing can end, as no request is sent any more.
+#[test]
+fn a_response_to_a_request_on_trial_ends_a_quarantine() {
+    let tracker = Tracker::default();
+    quarantine_alone(&tracker, "sound");
+    let sound = part("sound");
+    assert!(!tracker.is_trial_due(&sound, at(4_900)));
+    assert!(tracker.is_trial_due(&sound, at(5_000)));
+    tracker.start_trial(&sound, "trying", at(5_000));
+    assert!(!tracker.is_trial_due(&sound, at(5_001)));
+    assert!(is_quarantined(&tracker, "sound", 5_001));
+    let suspects = [sound];
+    assert!(tracker.held(&suspects, "trying", at(5_001)).is_empty());
+    let change = tracker.record_response(&run("x"), &suspects, at(5_000), at(5_500));
+    assert_eq!(change.sound, suspects);
+    assert!(!is_quarantined(&tracker, "sound", 5_500));
+}
+
+// Requests with the part may reach runners three times after the fifth crash.
+#[test]
+fn two_requests_at_most_try_a_part_that_crashes_runners() {
+    let (tracker, peer) = (Tracker::default(), Tracker::default());
+    quarantine_alone(&tracker, "p");
+    quarantine_alone(&peer, "p");
+    let mut now = 2_000;
+    for (number, runner) in ["d", "e"].iter().enumerate() {
+        while !tracker.is_trial_due(&part("p"), at(now)) {
+            now += 100;
+        }
+        assert!(now < 20_000);
+        tracker.start_trial(&part("p"), "trying", at(now));
+        let change = record_sent(&tracker, vec![part("p")], runner, now, now + 50);
+        assert!(change.is_new && change.counted == [part("p")]);
+        let _ = record_sent(&peer, vec![part("p")], runner, now, now + 50);
+        assert!(
+            !tracker
+                .held(&[part("p")], "trying", at(now + 60))
+                .is_empty()
+        );
+        now += 60;
+        assert!(!tracker.is_trial_due(&part("p"), at(now)), "{number}");
+    }
+    for tracker in [&tracker, &peer] {
+        assert!(!tracker.is_trial_due(&part("p"), at(now + 100_000)));
+    }
+}
+
+#[test]
+fn crashes_that_a_sound_part_explained_count_against_others_afterwards() {
+    let tracker = Tracker::default();
+    quarantine_alone(&tracker, "sound");
+    for (index, runner) in ["d", "e"].iter().enumerate() {
+        let millis = 3_000 + 1_000 * index as u64;
+        crash(&tracker, &["sound", "crashing"], runner, millis);
+    }
+    respond(&tracker, &["sound"], 5_000);
+    crash(&tracker, &["sound", "crashing"], "f", 6_000);
+    assert!(is_quarantined(&tracker, "crashing", 6_000));
+    assert!(!is_quarantined(&tracker, "sound", 6_000));
+}
+
+#[test]
+fn an_instance_with_a_response_between_the_crashes_objects_to_a_quarantine() {
+    let (deciding, other) = (Tracker::default(), Tracker::default());
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        let millis = 4_000 * index as u64;
+        crash(&deciding, &["sound"], runner, millis);
+        crash(&other, &["sound"], runner, millis);
+        if index == 0 {
+            respond(&other, &["sound"], 1_000);
+        }
+    }
+    assert!(is_quarantined(&deciding, "sound", 8_000));
+    assert!(!is_quarantined(&other, "sound", 8_000));
+    let change = other.merge(&deciding.snapshot(at(8_000)).unwrap(), at(8_000));
+    assert_eq!(change.sound, [part("sound")]);
+}
+
+#[test]
+fn parts_of_a_long_prompt_are_all_counted() {
+    let tracker = Tracker::default();
+    let ids: Vec<_> = (0..2_000).map(|number| format!("part-{number}")).collect();
+    let mut parts: Vec<_> = ids.iter().map(String::as_str).collect();
+    respond(&tracker, &parts, 0);
+    parts.insert(1_999, "crashing");
+    for (index, runner) in ["a", "b", "c"].iter().enumerate() {
+        crash(&tracker, &parts, runner, 5_000 + 1_000 * index as u64);
+    }
+    assert!(is_quarantined(&tracker, "crashing", 8_000));
+    assert!(!is_quarantined(&tracker, "part-0", 8_000));
+}
+
 quickcheck! {
     // A part of which no request broke is never quarantined, whatever other parts did.
     fn only_parts_of_broken_requests_are_quarantined(crashes: Vec<(u8, u8, u16)>) -> bool {
