A request waits for an adapter within its time limit

Cause: the wait for the leader's load of an adapter had no limit where this instance is the leader: a turn of up to 1 s, then an order of three sends of 1.5 s. A request that ended first dropped the order, whose outcome nobody recorded.

Change: the wait takes half of the time that the request may still wait at most, so that another replica can be tried. Whatever else a request waits for, Attempt::run ends at its deadline. The list of waits: body, origin of a stream, owner, peer, model, adapter, turn and runner; all but the adapter had a limit of their own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::transfer::Transfer;
 use crate::trial::{self, Trial};
 use crate::wait::Wait;
-use crate::{crash_report, id, mesh};
+use crate::{adapter_request, crash_report, id};
 
 /// Interval at which a waiting request checks the registry without a change
 /// notification.
@@ -24,6 +24,9 @@
 const TURN_INTERVAL: Duration = Duration::from_millis(60);
 /// Delay of a request after the load of its adapter was ordered.
 const ADAPTER_LOAD_DELAY: Duration = Duration::from_millis(8);
+/// Fraction of the time that a request may still wait, for its adapter at one runner. The rest
+/// is left for others.
+const ADAPTER_WAIT_FRACTION: f64 = 0.5;
 /// Maximum number of sends of one request, including rejected ones.
 const MAX_SENDS: u32 = 4;
 
@@ -89,12 +92,17 @@
     /// Returns the refusal for the caller.
     pub(crate) async fn run(&mut self) -> Result<Response, Refusal> {
         let gateway = Arc::clone(&self.gateway);
+        let remaining = self.exchange.remaining(gateway.now());
         let result = tokio::select! {
             result = self.try_runners() => result,
             () = gateway.aborting.cancelled() => {
                 let refusal = Refusal::new(Reason::Leaving).with_retry_after(Duration::ZERO);
                 Err(self.adjust_refusal(refusal))
             }
+            // Whatever the request waits for, its caller gets a response.
+            () = gateway.clock.sleep(remaining) => {
+                Err(self.adjust_refusal(Refusal::new(Reason::Expired)))
+            }
         };
         match result {
             Err(refusal) => match self.failed.take() {
@@ -355,10 +363,14 @@
             return true;
         };
         let runner = chosen.runner.id();
-        let is_loaded = mesh::ensure_adapter(&self.gateway, runner, &target.model, adapter).await;
+        let now = self.gateway.now();
+        let left = self.exchange.wait_deadline().saturating_sub(now);
+        let limit = left.mul_f64(ADAPTER_WAIT_FRACTION);
+        let is_loaded = adapter_request::send(&self.gateway, runner, target, limit).await;
         log::debug!(
             request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
-            model = target.model.as_str(), adapter = adapter.as_str(), loaded = is_loaded;
+            model = target.model.as_str(), adapter = adapter.as_str(), loaded = is_loaded,
+            limit_ms = millis(limit);
             "adapter load requested"
         );
         if is_loaded {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod topology;
 pub mod trial;
 
+mod adapter_request;
 mod adapters;
 mod attempt;
 mod authority;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -46,6 +46,7 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.pending.lock().insert(id, sender);
+        let _pending = Pending { link: self, id };
         let request = mesh::AdapterRequest {
             id,
             runner: runner.to_owned(),
@@ -54,7 +55,6 @@
         };
         let message = mesh::Message::AdapterRequest(request);
         if self.queue.try_send(message).is_err() {
-            self.pending.lock().remove(&id);
             return None;
         }
         receiver.await.ok()
@@ -76,6 +76,18 @@
     }
 }
 
+/// An adapter request without a reply, which is forgotten when its wait ends.
+struct Pending<'a> {
+    link: &'a Link,
+    id: u64,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.link.pending.lock().remove(&self.id);
+    }
+}
+
 /// All links of this instance.
 #[derive(Debug, Default)]
 pub(crate) struct Links {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,7 +19,7 @@
 use crate::links::Link;
 use crate::report::Reports;
 use crate::span::millis;
-use crate::{Result, crash_report, report, tcp};
+use crate::{Result, adapter_request, crash_report, report, tcp};
 
 /// Timeout for the handshake, sends and unacknowledged data.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -28,7 +28,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 const RECONNECT_BASE: Duration = Duration::from_millis(200);
 const RECONNECT_MAX: Duration = Duration::from_secs(2);
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(1200);
 const REPLY_QUEUE: usize = 64;
 
 /// Starts a task that maintains a link to `address`, unless one exists.
@@ -250,7 +249,9 @@
                     }
                 }
             }
-            Message::AdapterRequest(request) => handle_adapter(gateway, request, replies.clone()),
+            Message::AdapterRequest(request) => {
+                adapter_request::serve(gateway, request, replies.clone());
+            }
             message => handle(gateway, &peer, message),
         }
     }
@@ -439,52 +440,3 @@
         }));
     }
 }
-
-fn handle_adapter(
-    gateway: &Arc<Gateway>,
-    request: mesh::AdapterRequest,
-    replies: mpsc::Sender<Message>,
-) {
-    let gateway = Arc::clone(gateway);
-    tokio::spawn(async move {
-        let loaded = match gateway.term() {
-            Some(term) => {
-                term.adapters
-                    .ensure(&request.runner, &request.model, &request.adapter)
-                    .await
-            }
-            None => false,
-        };
-        let reply = mesh::AdapterReply {
-            id: request.id,
-            loaded,
-        };
-        // Fails if the connection is closed; the requester then times out.
-        let _ = replies.send(Message::AdapterReply(reply)).await;
-    });
-}
-
-/// Requests the leader to load an adapter on a runner; returns whether the
-/// runner holds it.
-pub(crate) async fn ensure_adapter(
-    gateway: &Gateway,
-    runner: &str,
-    model: &str,
-    adapter: &str,
-) -> bool {
-    if let Some(term) = gateway.term() {
-        return term.adapters.ensure(runner, model, adapter).await;
-    }
-    let Some((leader, _)) = gateway.members.leader(gateway.now()) else {
-        return false;
-    };
-    let Some(link) = gateway.links.get(&leader) else {
-        return false;
-    };
-    let reply = time::timeout(
-        ADAPTER_TIMEOUT,
-        link.request_adapter(runner, model, adapter),
-    )
-    .await;
-    matches!(reply, Ok(Some(true)))
-}
