A relay ends at its deadline and with its caller, whatever it waits for

A stream whose caller does not read ended 1.5 s after its time limit.

Cause: only the read of the next chunk watched the caller and the deadline; the resume, and the send to a caller that is slow, watched neither.

Change: one select around the whole relay, the timer first; the deadline is also checked with each chunk, as bytes without a pause hide a timer.

Evidence: a_stream_is_not_resumed_after_its_caller_has_left and a_stream_whose_caller_does_not_read_ends_in_time (4.5 s) failed before, pass now. streams_of_single_bytes_end_in_time passed before: since responses are passed on from their first event, the limit of a send holds for those without one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a runner's response stream to the caller.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -86,20 +87,45 @@
 }
 
 impl Relay {
+    // Whatever the relay waits for, it ends at the deadline, and with its caller. Runners
+    // stop, since their connections are closed.
     async fn run(mut self, stream: Stream) {
+        let clock = Arc::clone(&self.attempt.gateway.clock);
+        let chunks = self.chunks.clone();
+        let remaining = self.remaining();
+        let end = tokio::select! {
+            biased;
+            () = clock.sleep(remaining) => End::Expired,
+            () = chunks.closed() => End::CallerLeft,
+            end = self.relay(stream) => end,
+        };
+        let error = match end {
+            End::Complete | End::CallerLeft => None,
+            End::Expired => Some(Code::Timeout),
+            End::Broken => Some(Code::Broken(
+                "stream from the runner ended early".to_owned(),
+            )),
+        };
+        if let Some(error) = error {
+            // Fails if the caller does not read. It sees the end of the queue then.
+            let _ = self.chunks.try_send(Err(error.into()));
+        }
+        self.log_end(end);
+    }
+
+    async fn relay(&mut self, stream: Stream) -> End {
         let mut stream = Box::new(stream);
-        let end = loop {
+        loop {
             let runner = stream.delivery.chosen.runner.clone();
             let end = self.relay_stream(stream).await;
             if end != End::Broken {
-                break end;
+                return end;
             }
             match self.resume(&runner).await {
                 Some(next) => stream = next,
-                None => break End::Broken,
+                None => return End::Broken,
             }
-        };
-        self.log_end(end);
+        }
     }
 
     // Relays the stream of one runner. Its connection is closed before this
@@ -120,6 +146,10 @@
                 return self.complete(*stream).await;
             };
             let now = self.attempt.gateway.now();
+            if self.attempt.exchange.remaining(now).is_zero() {
+                // Bytes that follow each other without a pause hide the timer.
+                return End::Expired;
+            }
             if self.scanner.scan(&bytes).has_event {
                 event_at = now;
                 self.has_event = true;
@@ -137,15 +167,7 @@
                 }
             }
             let sent_at = self.attempt.gateway.now();
-            let remaining = self.remaining();
-            let received = tokio::select! {
-                received = next(&mut stream.body) => received,
-                () = self.chunks.closed() => return End::CallerLeft,
-                () = self.attempt.gateway.clock.sleep(remaining) => {
-                    self.fail(Code::Timeout.into()).await;
-                    return End::Expired;
-                }
-            };
+            let received = next(&mut stream.body).await;
             self.record_gap(&stream, sent_at);
             match received {
                 Ok(next) => chunk = next,
@@ -226,16 +248,9 @@
                 ),
             }
         }
-        self.fail(Code::Broken("stream from the runner ended early".to_owned()).into())
-            .await;
         None
     }
 
-    async fn fail(&self, error: Error) {
-        // Fails if the caller has disconnected.
-        let _ = self.chunks.send(Err(error)).await;
-    }
-
     fn remaining(&self) -> Duration {
         let now = self.attempt.gateway.now();
         self.attempt.exchange.remaining(now)
