A response that a peer carries ends at the deadline

Callers saw nothing: a stream through a peer that falls silent, as when it is frozen, ended only when the caller gave up (60 s in the test).

Cause: the body of a peer's response was passed on without a limit of time. The peer keeps to the deadline, but one that has stopped keeps to nothing.

Change: the body fails at the deadline of the request.

Evidence: a_stream_of_a_peer_that_falls_silent_ends_in_time failed before, passes.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,10 +1,11 @@
 //! Body of a response to a caller.
 
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
 use crate::Error;
@@ -20,22 +21,46 @@
     End,
 }
 
+/// Completes at the deadline of a request.
+pub type Expiry = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 /// The body of a peer's response. Dropping it closes the connection to the peer.
-#[derive(Debug)]
 pub struct Relayed {
     body: Incoming,
+    expiry: Expiry,
     _connection: Connection,
 }
 
 impl Relayed {
-    /// Creates a body that is read from `connection`.
+    /// Creates a body that is read from `connection`, and fails when `expiry` completes.
     #[must_use]
-    pub fn new(body: Incoming, connection: Connection) -> Self {
+    pub fn new(body: Incoming, connection: Connection, expiry: Expiry) -> Self {
         Self {
             body,
+            expiry,
             _connection: connection,
         }
     }
+
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        // A peer that has stopped sends nothing more, and no error.
+        if self.expiry.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(Code::Timeout.into())));
+        }
+        let body = Pin::new(&mut self.body);
+        body.poll_frame(context)
+            .map_err(|error| Code::Broken(error.to_string()).into())
+    }
+}
+
+impl fmt::Debug for Relayed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("Relayed");
+        debug.field("body", &self.body).finish_non_exhaustive()
+    }
 }
 
 /// A complete body or a stream of chunks.
@@ -66,9 +91,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Relayed(relayed) => Pin::new(&mut relayed.body)
-                .poll_frame(context)
-                .map_err(|error| Code::Broken(error.to_string()).into()),
+            Self::Relayed(relayed) => relayed.poll_frame(context),
             Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
                 Some(Ok(Chunk::Data(bytes))) => Some(Ok(Frame::data(bytes))),
                 Some(Ok(Chunk::End)) => None,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -160,7 +160,10 @@
                     request, peer, status = head.status.as_u16(), latency_ms = millis(latency);
                     "peer responded"
                 );
-                let body = Relayed::new(body, connection);
+                let clock = Arc::clone(&self.clock);
+                let remaining = exchange.remaining(clock.now());
+                let expiry = async move { clock.sleep(remaining).await };
+                let body = Relayed::new(body, connection, Box::pin(expiry));
                 Outcome::Responded(Box::new(head), body)
             }
             Err(Failure::NotSent) => Outcome::Declined,
