Response bodies share a bounded memory

Here: each error body was kept up to 16 MB, in case no other runner succeeds, and nothing bounded them together; sixteen requests at once fill a VM of 260 MB.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
 use crate::term::Term;
 use crate::topology::Topology;
 use crate::trial::Trials;
-use crate::{Result, fetch, id, quarantine, reach, software};
+use crate::{Result, buffering, fetch, id, quarantine, reach, software};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -111,6 +111,8 @@
     pub(crate) reach: Arc<reach::Tracker>,
     /// Notified when a service is lost or regained.
     pub(crate) reach_changed: Arc<Notify>,
+    /// Memory for response bodies.
+    pub(crate) buffering: buffering::Memory,
     /// Hands requests over to peers.
     pub(crate) handover: Handover,
     pub(crate) prefill: PrefillEstimator,
@@ -160,6 +162,7 @@
         let peer_connector = Arc::clone(&ports.peer_connector);
         Ok(Self {
             handover: Handover::new(&incarnation, &clock, peer_connector),
+            buffering: buffering::Memory::default(),
             reach: Arc::default(),
             reach_changed: Arc::default(),
             incarnation,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod body;
 pub mod brittle;
 pub mod budget;
+pub mod buffering;
 pub mod call;
 pub mod connector;
 pub mod crash;
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, http};
 use tokio::time;
@@ -25,8 +25,6 @@
 
 /// Time reserved for returning the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
-/// Maximum size of a response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// One send of a request to a runner.
 pub(crate) struct Transfer<'a> {
@@ -225,9 +223,8 @@
     ) -> Outcome {
         let gateway = self.gateway;
         let runner = delivery.chosen.runner.id().clone();
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let bytes = match collected {
-            Ok(collected) => collected.to_bytes(),
+        let bytes = match gateway.buffering.read(body).await {
+            Ok(bytes) => bytes,
             Err(error) => {
                 log::info!(
                     request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
