Interim heads without end break a response

Cause: the HTTP library reads interim responses without a bound, and what precedes a head was limited by the deadline of the request alone.

Change: a connection delivers 256 KB at most before the head of a response (head_limit.rs), then it fails as broken, and the runner's health with it. The read buffer is 64 KB, so that nothing sound comes near.

Evidence: interim_heads_without_end_are_an_unknown_outcome, statuses 100, 102, 103, failed before, passes now.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::connector::Connector;
 use crate::error::Code;
+use crate::head_limit::{self, Allowance};
 use crate::{Result, id};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -28,6 +29,8 @@
 /// discarded.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 const MAX_IDLE_PER_RUNNER: usize = 8;
+/// Size of the read buffer, in bytes, which also limits the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 type Key = (id::Runner, SocketAddr);
 
@@ -51,6 +54,7 @@
     key: Key,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    allowance: Allowance,
     /// Whether it has carried a request before.
     pub is_reused: bool,
 }
@@ -95,7 +99,10 @@
             .connector
             .connect(address, CONNECT_TIMEOUT, USER_TIMEOUT)
             .await?;
+        let allowance = Allowance::default();
+        let stream = head_limit::Limited::new(stream, allowance.clone());
         let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Code::Connect(error.to_string()))?;
@@ -108,6 +115,7 @@
             key,
             sender,
             driver,
+            allowance,
             is_reused: false,
         })
     }
@@ -169,8 +177,12 @@
         if self.sender.ready().await.is_err() {
             return Err(Failure::NotSent);
         }
+        self.allowance.expect_head();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.allowance.end_head();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Failure::NotSent),
                 None => Err(Failure::Broken(error.into_error())),
