A request that could not end before the shutdown is not sent late in it

Change: from then on a request that is not sent yet is refused at once, as not run, if it may last longer than this instance does; its caller goes to another one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -175,6 +175,7 @@
             if !gateway.registry.is_usable(runner.id(), now) || !gateway.take_turn(runner, now) {
                 continue;
             }
+            self.check_shutdown()?;
             self.reserve_send()?;
             self.log_send(&chosen);
             let runner = chosen.runner.id().clone();
@@ -214,6 +215,16 @@
         }
     }
 
+    // Refuses a request that is not sent yet and could not end before this instance does.
+    fn check_shutdown(&self) -> Result<(), Refusal> {
+        let remaining = self.exchange.remaining(self.gateway.now());
+        if self.gateway.stops_within(remaining) {
+            let refusal = Refusal::new(Reason::Leaving).with_retry_after(Duration::ZERO);
+            return Err(self.adjust_refusal(refusal));
+        }
+        Ok(())
+    }
+
     // Whether peers may serve a request that this instance does not. One that may have run
     // stays here.
     fn should_offer(&self) -> bool {
@@ -322,6 +333,7 @@
         let mut changed = self.gateway.registry.subscribe();
         let mut wait = Wait::new(Arc::clone(&self.gateway), Arc::clone(&self.exchange));
         loop {
+            self.check_shutdown()?;
             match selection::select(&self.gateway, &self.exchange, &self.excluded) {
                 Selection::Send(chosen) => return Ok(chosen),
                 Selection::Refuse(refusal) | Selection::Wait(refusal) if self.should_offer() => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of one gateway share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use almondbank_control::membership;
@@ -147,6 +147,8 @@
     pub(crate) leaving: CancellationToken,
     /// Cancelled when new requests are refused and idle caller connections closed.
     pub(crate) closing: CancellationToken,
+    /// Time at which pending requests are aborted, once this instance shuts down.
+    pub(crate) abort_at: OnceLock<Duration>,
     /// Cancelled when requests without a response are aborted.
     pub(crate) aborting: CancellationToken,
     /// Cancelled when all tasks must end.
@@ -201,6 +203,7 @@
             term_changed: Notify::new(),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
+            abort_at: OnceLock::new(),
             aborting: CancellationToken::new(),
             stopped: CancellationToken::new(),
             work: TaskTracker::new(),
@@ -215,6 +218,12 @@
         self.clock.now()
     }
 
+    /// Whether a request that may last for `time` would be aborted, as this instance shuts down.
+    pub(crate) fn stops_within(&self, time: Duration) -> bool {
+        let abort_at = self.abort_at.get();
+        self.closing.is_cancelled() && abort_at.is_some_and(|at| self.now() + time > *at)
+    }
+
     /// Returns all instances that serve callers, this one included.
     pub(crate) fn serving_instances(&self) -> impl Iterator<Item = id::Instance> {
         let peers = self.members.serving(self.now()).into_iter();
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -131,6 +131,9 @@
         let gateway = self.gateway;
         let began = gateway.now();
         log::info!(connections = gateway.work.len(); "leaving");
+        let end = began + gateway.settings.grace.saturating_sub(EXIT_MARGIN);
+        let abort_at = end.saturating_sub(ABORT_MARGIN);
+        gateway.abort_at.get_or_init(|| abort_at);
         gateway.leaving.cancel();
         gateway
             .clock
@@ -138,8 +141,7 @@
             .await;
         gateway.closing.cancel();
         gateway.work.close();
-        let end = began + gateway.settings.grace.saturating_sub(EXIT_MARGIN);
-        let remaining = end.saturating_sub(ABORT_MARGIN + gateway.now());
+        let remaining = abort_at.saturating_sub(gateway.now());
         tokio::select! {
             () = finished(&gateway) => {}
             () = gateway.clock.sleep(remaining) => {
