Runs that may have ended are looked up in the store first

Cause: an instance that was frozen judged by the registrations that it knew before: it took an ended run, whose successor has the address, for alive, and lifted the quarantine everywhere 5 ms before it read that the run was gone.

Change: the check reads the registrations again, and waits if it cannot.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use crate::crash::Run;
-use crate::crash_report;
 use crate::gateway::Gateway;
 use crate::registered::LAPSE_TIME;
+use crate::{crash_report, watcher};
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -30,7 +30,17 @@
             continue;
         }
         let before = now.saturating_sub(LAPSE_TIME);
-        for run in gateway.quarantine.take_unchecked(before) {
+        let due = gateway.quarantine.take_unchecked(before);
+        if due.is_empty() {
+            continue;
+        }
+        // This instance may not have heard of the end yet, for example after it was frozen.
+        if let Err(error) = watcher::catch_up(&gateway).await {
+            log::info!(runs = due.len(), error:% = error; "runs that may have ended could not be checked");
+            gateway.quarantine.check_again(due);
+            continue;
+        }
+        for run in due {
             if is_alive(&gateway, &run).await {
                 crash_report::refute(&gateway, &run);
             }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -263,6 +263,11 @@
         due
     }
 
+    /// Adds runs that could not be checked to the next ones.
+    pub fn check_again(&self, runs: BTreeSet<Run>) {
+        self.inner.lock().unchecked.extend(runs);
+    }
+
     fn notify(&self, change: &Change) {
         if change.is_new || !change.quarantined.is_empty() {
             self.changed.notify_one();
