Read once more: one load of an adapter, responses that walk over no crashes

The load of an adapter stood twice in adapter_request.rs. Each response walked over all crashes for each part of its prompt, held or not. A relay that had finished could be logged as left by its caller, and its connection be closed, as the caller's end was looked at first.

Change: one load; crashes are released for parts in quarantine only; the work goes before the caller's end.

Measured: no behaviour was to change but the order in the relay; the five test files that cover them pass (quarantine, crashing_part_variants, streams, time_limits, crashing_requests). Ruled out: one scanner for both the relay and its splitter, which would change the splitter's interface for some hundred bytes a stream.

--- a/crates/gateway/src/adapter_request.rs
+++ b/crates/gateway/src/adapter_request.rs
@@ -12,6 +12,8 @@
 
 use crate::call::Target;
 use crate::gateway::Gateway;
+use crate::id;
+use crate::term::Term;
 
 /// Longest wait for the reply of a leader that is another instance.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -24,12 +26,12 @@
 ) {
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
+        let target = Target {
+            model: request.model,
+            adapter: Some(request.adapter),
+        };
         let loaded = match gateway.term() {
-            Some(term) => {
-                term.adapters
-                    .ensure(&request.runner, &request.model, &request.adapter)
-                    .await
-            }
+            Some(term) => load(term, request.runner, target).await,
             None => false,
         };
         let reply = mesh::AdapterReply {
@@ -49,13 +51,11 @@
     target: &Target,
     limit: Duration,
 ) -> bool {
-    let Some(adapter) = target.adapter.clone() else {
+    let Some(adapter) = &target.adapter else {
         return true;
     };
     if let Some(term) = gateway.term() {
-        let (runner, model) = (runner.to_owned(), target.model.clone());
-        let loading =
-            tokio::spawn(async move { term.adapters.ensure(&runner, &model, &adapter).await });
+        let loading = tokio::spawn(load(term, runner.to_owned(), target.clone()));
         return matches!(time::timeout(limit, loading).await, Ok(Ok(true)));
     }
     let Some((leader, _)) = gateway.members.leader(gateway.now()) else {
@@ -64,7 +64,14 @@
     let Some(link) = gateway.links.get(&leader) else {
         return false;
     };
-    let requested = link.request_adapter(runner, &target.model, &adapter);
+    let requested = link.request_adapter(runner, &target.model, adapter);
     let reply = time::timeout(limit.min(REPLY_TIMEOUT), requested).await;
     matches!(reply, Ok(Some(true)))
 }
+
+async fn load(term: Arc<Term>, runner: id::Runner, target: Target) -> bool {
+    let Some(adapter) = &target.adapter else {
+        return true;
+    };
+    term.adapters.ensure(&runner, &target.model, adapter).await
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -471,7 +471,12 @@
         }
         // Later parts are shared by fewer requests than earlier ones.
         let parts = parts.into_iter().rev().filter(has_cause);
-        let cause = parts.min_by_key(|part| (self.soundness.last(part), self.fewer(part, at)))?;
+        let cause = parts.min_by_key(|part| {
+            (
+                self.soundness.last(part),
+                Reverse(self.crash_count(part, at)),
+            )
+        })?;
         match self.less_sound(cause, at) {
             Some((_, count)) if count < MIN_CRASHES => None,
             Some((other, _)) => Some(other.clone()),
@@ -479,10 +484,6 @@
         }
     }
 
-    fn fewer(&self, suspect: &Suspect, at: Duration) -> Reverse<usize> {
-        Reverse(self.crash_count(suspect, at))
-    }
-
     // Returns a part that broke in the same crashes as `cause`, or in all but the last one,
     // which not all instances may have reported, and that runners have not responded to for a
     // longer time, with its number of crashes.
@@ -600,7 +601,9 @@
             crash.dismiss(suspect);
         }
         let was_held = self.quarantined.contains_key(suspect);
-        self.release(suspect);
+        if was_held {
+            self.release(suspect);
+        }
         was_held
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -96,8 +96,9 @@
         let end = tokio::select! {
             biased;
             () = clock.sleep(remaining) => End::Expired,
-            () = chunks.closed() => End::CallerLeft,
+            // A caller may leave as soon as it has the announced length.
             end = self.relay(stream) => end,
+            () = chunks.closed() => End::CallerLeft,
         };
         let error = match end {
             End::Complete | End::CallerLeft => None,
--- a/crates/port/src/http.rs
+++ b/crates/port/src/http.rs
@@ -42,7 +42,7 @@
 }
 
 /// A pool and the number of those before it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Generation {
     number: u64,
     pool: Pool,
