A request that has a replica waits for its adapter as long as it may

Cause: the limit of the wait for an adapter was half of the time that is left until the caller of a stream would leave. Late in that time it was shorter than an unload and a load take.

Ruled out: the shorter calls of the feed and the new pools after a timeout, which are not on this way; the store answers 503 in the test.

Change: the wait is half of the time until shortly before the deadline, 1.2 s at least if there is as much, as it was for a leader elsewhere before. Still none goes past the deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,9 @@
 /// Fraction of the time that a request may still wait, for its adapter at one runner. The rest
 /// is left for others.
 const ADAPTER_WAIT_FRACTION: f64 = 0.5;
+/// Shortest wait for an adapter at one runner, if the request may wait as long: a load can
+/// need an unload before it.
+const MIN_ADAPTER_WAIT: Duration = Duration::from_millis(1200);
 /// Maximum number of sends of one request, including rejected ones.
 const MAX_SENDS: u32 = 4;
 
@@ -376,8 +379,9 @@
         };
         let runner = chosen.runner.id();
         let now = self.gateway.now();
-        let left = self.exchange.wait_deadline().saturating_sub(now);
-        let limit = left.mul_f64(ADAPTER_WAIT_FRACTION);
+        let left = self.exchange.adapter_deadline().saturating_sub(now);
+        let share = left.mul_f64(ADAPTER_WAIT_FRACTION);
+        let limit = share.max(MIN_ADAPTER_WAIT).min(left);
         let is_loaded = adapter_request::send(&self.gateway, runner, target, limit).await;
         log::debug!(
             request = self.exchange.call.attempt.as_str(), runner = runner.as_str(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -46,10 +46,14 @@
     /// deadline, or before the caller of a stream disconnects for lack of an event.
     pub(crate) fn wait_deadline(&self) -> Duration {
         let limit = self.deadline.saturating_sub(self.arrived);
-        let limit = self
-            .route
-            .idle_timeout
-            .map_or(limit, |idle| limit.min(idle));
+        let idle = self.route.idle_timeout.unwrap_or(limit);
+        self.arrived + limit.min(idle).mul_f64(MAX_WAIT_FRACTION)
+    }
+
+    /// Time until which a request that has a replica may wait for its adapter there: until
+    /// shortly before its deadline.
+    pub(crate) fn adapter_deadline(&self) -> Duration {
+        let limit = self.deadline.saturating_sub(self.arrived);
         self.arrived + limit.mul_f64(MAX_WAIT_FRACTION)
     }
 
