Answers to orders, queries and the store's answers end after their size

Cause: the client of these calls bounded the body alone.

Change: the limit of head_limit.rs moves to crates/port and takes two forms: one that its user sets and lifts, for the pool, and one that each request renews, for the client: the largest body, an eighth for its chunks, and 64 KB.

Ruled out: a second wrapper of the connection, beside the first.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -111,7 +111,6 @@
 mod gateway;
 mod grace;
 mod handover;
-mod head_limit;
 mod instance;
 mod leader;
 mod leader_row;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use almondbank_port::clock::Clock;
+use almondbank_port::read_limit::{self, Allowance};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,7 +18,6 @@
 
 use crate::connector::Connector;
 use crate::error::Code;
-use crate::head_limit::{self, Allowance};
 use crate::{Result, id};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -29,6 +29,9 @@
 /// discarded.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 const MAX_IDLE_PER_RUNNER: usize = 8;
+/// Most bytes before the end of a response's head: the head, interim ones, and what the library
+/// reads ahead of the body.
+const MAX_HEAD_BYTES: usize = 256 << 10;
 /// Size of the read buffer, in bytes, which also limits the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
@@ -100,7 +103,7 @@
             .connect(address, CONNECT_TIMEOUT, USER_TIMEOUT)
             .await?;
         let allowance = Allowance::default();
-        let stream = head_limit::Limited::new(stream, allowance.clone());
+        let stream = read_limit::Limited::new(stream, allowance.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -177,10 +180,10 @@
         if self.sender.ready().await.is_err() {
             return Err(Failure::NotSent);
         }
-        self.allowance.expect_head();
+        self.allowance.limit(MAX_HEAD_BYTES);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.allowance.end_head();
+                self.allowance.lift();
                 Ok(response)
             }
             Err(mut error) => match error.take_message() {
--- a/crates/port/src/http.rs
+++ b/crates/port/src/http.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::Result;
+use crate::connector::Connector;
 use crate::error::Code;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,13 +29,18 @@
 const MAX_IDLE_PER_HOST: usize = 256;
 /// Largest response unless the client has a limit of its own, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Most bytes of the heads of a response, interim ones included.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Share of a body that its chunks may add to it, as a divisor.
+const FRAMING_DIVISOR: usize = 8;
 
-type Pool = legacy::Client<connect::HttpConnector, Full<Bytes>>;
+type Pool = legacy::Client<Connector, Full<Bytes>>;
 
 /// An HTTP/1.1 client with a connection pool, which its clones share.
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Arc<RwLock<Generation>>,
+    builder: legacy::Builder,
     /// Whether the pool is replaced after a call without a response.
     drops_silent: bool,
     /// Largest response that is read, in bytes.
@@ -64,10 +70,15 @@
     /// Makes a client that reuses idle connections.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_builder(builder(), MAX_RESPONSE_BYTES)
+    }
+
+    fn with_builder(builder: legacy::Builder, max_response: usize) -> Self {
         Self {
-            pool: Generation::first(builder().build(connector())),
+            pool: Generation::first(builder.build(connector(max_response))),
+            builder,
             drops_silent: false,
-            max_response: MAX_RESPONSE_BYTES,
+            max_response,
         }
     }
 
@@ -81,12 +92,12 @@
         }
     }
 
-    /// Limits the size of the responses that [`Client::call`] reads, in bytes.
+    /// Limits the size of the responses that are read, in bytes.
     #[must_use]
     pub fn with_max_response(self, max_response: usize) -> Self {
         Self {
-            max_response,
-            ..self
+            drops_silent: self.drops_silent,
+            ..Self::with_builder(self.builder, max_response)
         }
     }
 
@@ -96,11 +107,7 @@
     pub fn unpooled() -> Self {
         let mut builder = builder();
         builder.pool_max_idle_per_host(0);
-        Self {
-            pool: Generation::first(builder.build(connector())),
-            drops_silent: false,
-            max_response: MAX_RESPONSE_BYTES,
-        }
+        Self::with_builder(builder, MAX_RESPONSE_BYTES)
     }
 
     /// Sends `request` and returns the response with a streaming body.
@@ -182,7 +189,7 @@
         let mut current = self.pool.write();
         if current.number == generation {
             current.number += 1;
-            current.pool = builder().build(connector());
+            current.pool = self.builder.build(connector(self.max_response));
         }
     }
 
@@ -223,7 +230,7 @@
     builder
 }
 
-fn connector() -> connect::HttpConnector {
+fn connector(max_response: usize) -> Connector {
     let mut connector = connect::HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -234,5 +241,6 @@
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     #[cfg(target_os = "linux")]
     connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    connector
+    let max_bytes = max_response + max_response / FRAMING_DIVISOR + MAX_HEAD_BYTES;
+    Connector::new(connector, max_bytes)
 }
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http;
 pub mod objects;
 pub mod objects_http;
+pub mod read_limit;
 pub mod retry;
 pub mod roster;
 pub mod roster_http;
@@ -28,6 +29,7 @@
 pub mod table;
 pub mod table_http;
 
+mod connector;
 mod error;
 
 pub use error::{Category, Error, Result};
--- a/crates/port/src/read_limit.rs
+++ b/crates/port/src/read_limit.rs
@@ -1,4 +1,4 @@
-//! Limits the bytes that a connection delivers before the head of a response.
+//! Limits the bytes that a connection delivers.
 //!
 //! Interim responses may come without end, and the HTTP library reads them all.
 
@@ -8,16 +8,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Most bytes before the end of a response's head, in bytes: the head, interim ones, and what
-/// the library reads ahead of the body.
-const MAX_HEAD_BYTES: usize = 256 << 10;
 const UNLIMITED: usize = usize::MAX;
 
-/// Number of bytes that a connection may still deliver.
+/// Number of bytes that a connection may still deliver; clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct Allowance(Arc<AtomicUsize>);
+pub struct Allowance(Arc<AtomicUsize>);
 
 impl Default for Allowance {
     fn default() -> Self {
@@ -26,14 +24,14 @@
 }
 
 impl Allowance {
-    /// Limits what comes before the next response.
-    pub(crate) fn expect_head(&self) {
-        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    /// Allows this number of bytes from now on.
+    pub fn limit(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
     }
 
-    /// Ends the limit: the head has been read.
-    pub(crate) fn end_head(&self) {
-        self.0.store(UNLIMITED, Ordering::Relaxed);
+    /// Allows any number of bytes from now on.
+    pub fn lift(&self) {
+        self.limit(UNLIMITED);
     }
 
     fn is_used_up(&self) -> bool {
@@ -43,21 +41,45 @@
     fn take(&self, bytes: usize) {
         let left = self.0.load(Ordering::Relaxed);
         if left != UNLIMITED {
-            self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
+            self.limit(left.saturating_sub(bytes));
         }
     }
 }
 
 /// A stream whose reads fail when its allowance is used up.
 #[derive(Debug)]
-pub(crate) struct Limited<S> {
+pub struct Limited<S> {
     inner: S,
     allowance: Allowance,
+    /// Number of bytes that each write allows anew.
+    per_write: Option<usize>,
 }
 
 impl<S> Limited<S> {
-    pub(crate) fn new(inner: S, allowance: Allowance) -> Self {
-        Self { inner, allowance }
+    /// Limits the reads of `inner` by an allowance that the caller sets.
+    #[must_use]
+    pub fn new(inner: S, allowance: Allowance) -> Self {
+        Self {
+            inner,
+            allowance,
+            per_write: None,
+        }
+    }
+
+    /// Limits the reads of `inner` to this number of bytes after each write, as of a request.
+    #[must_use]
+    pub fn per_write(inner: S, bytes: usize) -> Self {
+        Self {
+            inner,
+            allowance: Allowance::default(),
+            per_write: Some(bytes),
+        }
+    }
+
+    fn start_write(&self) {
+        if let Some(bytes) = self.per_write {
+            self.allowance.limit(bytes);
+        }
     }
 }
 
@@ -69,7 +91,7 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.allowance.is_used_up() {
-            let text = "too many bytes before the head of a response";
+            let text = "the server sends too many bytes";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
         }
         let before = buffer.filled().len();
@@ -85,6 +107,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.start_write();
         Pin::new(&mut self.get_mut().inner).poll_write(context, bytes)
     }
 
@@ -101,6 +124,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.start_write();
         Pin::new(&mut self.get_mut().inner).poll_write_vectored(context, slices)
     }
 
@@ -108,3 +132,9 @@
         self.inner.is_write_vectored()
     }
 }
+
+impl<S: Connection> Connection for Limited<S> {
+    fn connected(&self) -> Connected {
+        self.inner.connected()
+    }
+}
