Tenants: keys are checked, and runners get the tenant's name

Cause: the environment of some deployments lists tenants with keys, and no code read them. Keys were forwarded to runners, unknown keys were let through, and a tenant's priority had no effect.

Change: the environment holds tenants; a request on a route that is not public needs a key that it lists, or is refused with 401 before its body is read. Keys are held as digests and removed from the head before anything else sees it. Runners and peers get the tenant's name; a caller's own header of that name is dropped. A tenant's priority replaces the route's rank.

Settings gain memory_mb and the bound of quotas; they have no effect yet.

Ruled out: a key that peers check again. An instance with an older environment would refuse what another one has let through.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::id;
+use crate::tenant::Credential;
 
 /// Most parts of a prompt that are listed in a log line.
 const MAX_LISTED_PARTS: usize = 32;
@@ -54,6 +55,8 @@
     pub prompt_tokens: u64,
     /// Maximum length of the output, in tokens.
     pub max_output_tokens: u64,
+    /// Whether the request states these numbers of tokens.
+    pub has_token_usage: bool,
     /// Time that the caller waits for a response, if it states one.
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller received, if it resumes a stream.
@@ -62,6 +65,10 @@
     pub resumes: Option<id::Attempt>,
     /// Incarnation of the instance that has handed the request over, if one has.
     pub handed_over_by: Option<id::Incarnation>,
+    /// What the request states about its caller.
+    pub credential: Credential,
+    /// Name of the tenant, if that instance has authenticated the caller.
+    pub tenant: Option<id::Tenant>,
     /// The only software version at which it may run, if that instance names one.
     pub software: Option<id::Software>,
 }
--- a/crates/gateway/src/environment.rs
+++ b/crates/gateway/src/environment.rs
@@ -6,6 +6,7 @@
 use crate::id;
 use crate::route::Route;
 use crate::service::Service;
+use crate::tenant::Directory;
 
 /// Limits on requests and connections of callers.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +41,8 @@
     pub services: BTreeMap<id::Service, Service>,
     /// Limits on requests and connections.
     pub limits: Limits,
+    /// Tenants, if callers need keys.
+    pub tenants: Option<Directory>,
     /// Routes by host, the longest prefix first.
     routes: BTreeMap<String, Vec<Route>>,
     /// Shortest objective for the gap between two events, by service.
@@ -68,11 +71,19 @@
             version,
             services,
             limits,
+            tenants: None,
             routes: by_host,
             event_gaps,
         }
     }
 
+    /// Sets the tenants, whose keys callers need from then on.
+    #[must_use]
+    pub fn with_tenants(mut self, tenants: Directory) -> Self {
+        self.tenants = Some(tenants);
+        self
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use crate::route::Route;
 use crate::service::{Engine, Service};
 use crate::suspect::Suspect;
+use crate::tenant::Tenant;
 use crate::{fingerprint, id};
 
 /// Fraction of its time limit that a request may wait for a replica. The rest is
@@ -30,6 +31,8 @@
     pub(crate) environment: Arc<Environment>,
     pub(crate) route: Route,
     pub(crate) service: id::Service,
+    /// Tenant of the caller, if the environment has tenants and the route is not public.
+    pub(crate) tenant: Option<Arc<Tenant>>,
     pub(crate) arrived: Duration,
     /// Time at which the caller's or the route's timeout expires.
     pub(crate) deadline: Duration,
@@ -76,7 +79,8 @@
 
     /// The request as what may crash a runner.
     pub(crate) fn as_suspect(&self) -> Suspect {
-        let compute = || fingerprint::of(&self.head, &self.call, &self.body);
+        let tenant = self.tenant.as_ref().map(|tenant| tenant.name.as_str());
+        let compute = || fingerprint::of(&self.head, &self.call, tenant, &self.body);
         Suspect::Request(self.fingerprint.get_or_init(compute).clone())
     }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,6 @@
 //! Feeds of environments and runner registrations.
 
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use crate::{Result, id};
 
 /// An environment with its source text.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Document {
     /// The parsed environment.
     pub environment: Arc<Environment>,
@@ -19,6 +19,16 @@
     pub text: String,
 }
 
+impl fmt::Debug for Document {
+    // The text holds the keys of callers.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("Document");
+        debug
+            .field("environment", &self.environment)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A change of one registration.
 #[derive(Clone, Debug)]
 pub enum Change {
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -8,9 +8,15 @@
 use crate::id;
 
 /// Returns the fingerprint of a request, which is equal for all attempts of one caller at
-/// the same method, host, path, query, model, prompt and body.
+/// the same method, host, path, query, model, prompt and body. Without a tenant, the caller
+/// is known by its credentials.
 #[must_use]
-pub fn of(head: &http::request::Parts, call: &Call, body: &[u8]) -> id::Fingerprint {
+pub fn of(
+    head: &http::request::Parts,
+    call: &Call,
+    tenant: Option<&str>,
+    body: &[u8],
+) -> id::Fingerprint {
     let path = head.uri.path_and_query();
     let credentials = head.headers.get(AUTHORIZATION);
     let target = call.target.as_ref();
@@ -21,6 +27,7 @@
         call.host.as_bytes(),
         path.map_or("", http::uri::PathAndQuery::as_str).as_bytes(),
         credentials.map_or(b"".as_slice(), http::HeaderValue::as_bytes),
+        tenant.unwrap_or_default().as_bytes(),
         target.map_or("", |target| &target.model).as_bytes(),
         adapter.unwrap_or_default().as_bytes(),
         body.as_bytes(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
 use hyper::{Request, Response, http};
 use tokio::time;
 
@@ -16,6 +16,7 @@
 use crate::outcome::Response as RunnerResponse;
 use crate::refusal::{Reason, Refusal};
 use crate::span::millis;
+use crate::tenant::{Directory, Tenant};
 use crate::{call, relay, stream_origin};
 
 /// Reads one request of a caller, forwards it and returns the response.
@@ -35,7 +36,7 @@
 
 async fn accept(
     gateway: &Gateway,
-    head: http::request::Parts,
+    mut head: http::request::Parts,
     body: Incoming,
     arrived: Duration,
 ) -> Result<Exchange, Response<Body>> {
@@ -48,6 +49,7 @@
         .take_if(|from| !gateway.members.has_incarnation(from));
     if call.handed_over_by.is_none() {
         call.software = None;
+        call.tenant = None;
     }
     let reject = |reason| refuse(gateway, Some(&call), &Refusal::new(reason));
     if gateway.closing.is_cancelled() {
@@ -57,10 +59,21 @@
     let environment = gateway
         .serving_environment()
         .ok_or_else(|| reject(Reason::NoEnvironment))?;
-    let route = environment
+    let mut route = environment
         .route(&call.host, &call.path)
         .ok_or_else(|| reject(Reason::NoRoute))?
         .clone();
+    let mut tenant = None;
+    if let Some(tenants) = &environment.tenants {
+        // Neither runners nor other instances may see a key.
+        head.headers.remove(AUTHORIZATION);
+        if !route.is_public {
+            tenant = Some(authenticate(tenants, &call).map_err(reject)?);
+        }
+    }
+    if let Some(rank) = tenant.as_ref().and_then(|tenant| tenant.rank) {
+        route.rank = rank;
+    }
     let service = route
         .service(call.seed())
         .ok_or_else(|| reject(Reason::NoRunner))?
@@ -86,12 +99,24 @@
         environment,
         route,
         service,
+        tenant,
         arrived,
         deadline,
         fingerprint: OnceLock::new(),
     })
 }
 
+// Returns the tenant of the caller. A peer that hands a request over has authenticated it.
+fn authenticate(tenants: &Directory, call: &call::Call) -> Result<Arc<Tenant>, Reason> {
+    let (tenant, reason) = if call.handed_over_by.is_some() {
+        let name = call.tenant.as_deref();
+        (name.and_then(|name| tenants.get(name)), Reason::Misdirected)
+    } else {
+        (tenants.authenticate(&call.credential), Reason::Unauthorized)
+    };
+    tenant.map(Arc::clone).ok_or(reason)
+}
+
 async fn forward(gateway: &Arc<Gateway>, exchange: Arc<Exchange>) -> Response<Body> {
     let now = gateway.now();
     // The instance that handed a request over has counted it.
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -188,6 +188,7 @@
         let handover = protocol::Handover {
             from: &self.incarnation,
             remaining,
+            tenant: exchange.tenant.as_ref().map(|tenant| tenant.name.as_str()),
             software,
         };
         let head = protocol.encode_handover(&exchange.head, body.len(), &handover);
--- a/crates/gateway/src/id.rs
+++ b/crates/gateway/src/id.rs
@@ -8,6 +8,10 @@
 pub type Attempt = String;
 /// Digest of what a request asks for, whichever attempt it is.
 pub type Fingerprint = String;
+/// Name of a tenant.
+pub type Tenant = String;
+/// SHA-256 digest of the key of a tenant, in lower-case hexadecimal.
+pub type KeyDigest = String;
 /// Version of the software of a runner; versions have no order.
 pub type Software = String;
 /// Id of one part of a prompt.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod store_load;
 pub mod summary;
 pub mod suspect;
+pub mod tenant;
 pub mod topology;
 pub mod trial;
 
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -21,6 +21,8 @@
     pub remaining: Duration,
     /// Priority rank; 0 is the most urgent.
     pub rank: u8,
+    /// Tenant of the caller, if the environment has tenants.
+    pub tenant: Option<id::Tenant>,
     /// Id of the event after which the stream continues, if the gateway resumes it.
     pub resume_after: Option<u64>,
 }
@@ -32,6 +34,8 @@
     pub from: &'a str,
     /// Time until the deadline.
     pub remaining: Duration,
+    /// Tenant of the caller, which this instance has authenticated.
+    pub tenant: Option<&'a str>,
     /// The only software version at which the request may run, if it takes up a stream.
     pub software: Option<&'a str>,
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,6 +12,8 @@
     BadRequest,
     /// The body is longer than the environment allows.
     BodyTooLong,
+    /// The route needs a key, and the request has none that the environment lists.
+    Unauthorized,
     /// No route of the environment matches the request.
     NoRoute,
     /// The instance is shutting down and does not complete the request.
@@ -86,6 +88,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
+            Self::Unauthorized => 401,
             Self::NoRoute => 404,
             Self::BodyTooLong => 413,
             Self::Leaving
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -49,6 +49,8 @@
     pub idle_timeout: Option<Duration>,
     /// Priority; 0 is the highest.
     pub rank: u8,
+    /// Whether callers need no key.
+    pub is_public: bool,
     /// Services that share the requests.
     pub shares: Vec<Share>,
     /// Maximum number of times that one request may run.
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -137,6 +137,7 @@
                 .remaining(self.gateway.now())
                 .saturating_sub(RESPONSE_MARGIN),
             rank: exchange.route.rank,
+            tenant: exchange.tenant.as_ref().map(|tenant| tenant.name.clone()),
             resume_after: self.resume_after,
         };
         let address = chosen.runner.address;
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use almondbank_gateway::crash::{Report, Run, Suspicion};
 use almondbank_gateway::quarantine::{Change, Tracker};
 use almondbank_gateway::suspect::Suspect;
+use almondbank_gateway::tenant::Credential;
 use almondbank_wire::mesh;
 use quickcheck::quickcheck;
 
@@ -494,6 +495,9 @@
     parts.insert(0, part("x".repeat(60_000)));
     let call = Call {
         handed_over_by: None,
+        credential: Credential::Absent,
+        tenant: None,
+        has_token_usage: true,
         software: None,
         attempt: "a".to_owned(),
         host: "h".to_owned(),
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -10,6 +10,9 @@
 /// JSON Schema of the settings.
 pub const SCHEMA: &str = include_str!("../../../schema/gateway.json");
 
+/// Smallest memory with which a gateway has room for its state and for requests.
+const MIN_MEMORY_MB: u64 = 64;
+
 /// Listen addresses of a gateway.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Listen {
@@ -36,6 +39,17 @@
     pub extra: f64,
 }
 
+/// Bound on the use of a tenant's quota, over all gateways.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Time window over which the use is counted.
+    pub window: Duration,
+    /// Part of the quota that may be used in a window beyond it.
+    pub overage: f64,
+    /// Units that may be used in a window in addition to the overage.
+    pub slack: f64,
+}
+
 /// Rate limit of loads from the weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -60,6 +74,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Maximum number of file descriptors of the process.
     pub max_files: usize,
+    /// Maximum memory of the process, in bytes.
+    pub memory: usize,
     /// CPU limit of the process, in cores.
     pub cpu_share: f64,
     /// Whether runners reject orders with a stale fencing token.
@@ -73,6 +89,8 @@
     pub reconcile_window: Duration,
     /// Retry budget of each service.
     pub retry: Retry,
+    /// Bound on the use of a tenant's quota.
+    pub quota: Quota,
     /// Rate limit of loads from the weight store.
     pub load: Load,
     /// Maximum time that callers may cache the directory.
@@ -123,12 +141,16 @@
         });
         let lower_bounds = [
             ("/max_files", raw.max_files > 0),
+            ("/memory_mb", raw.memory_mb >= MIN_MEMORY_MB),
             ("/cpu_share", raw.cpu_share > 0.0),
             ("/lease_ms", raw.lease_ms > 0),
             ("/retry_ratio", raw.retry_ratio >= 0.0),
             ("/grace_s", raw.grace_s > 0.0),
             ("/retry_window_s", raw.retry_window_s > 0.0),
             ("/retry_extra", raw.retry_extra >= 0.0),
+            ("/quota_window_s", raw.quota_window_s > 0.0),
+            ("/quota_overage", raw.quota_overage >= 0.0),
+            ("/quota_slack", raw.quota_slack >= 0.0),
             ("/load_window_s", raw.load_window_s > 0.0),
             ("/load_overage", raw.load_overage > 0.0),
             ("/max_ttl_s", raw.max_ttl_s > 0.0),
@@ -151,6 +173,7 @@
             store,
             seeds,
             max_files: usize::try_from(raw.max_files).unwrap_or(usize::MAX),
+            memory: usize::try_from(raw.memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX),
             cpu_share: raw.cpu_share,
             checks_fencing: raw.checks_fencing,
             lease: Duration::from_millis(raw.lease_ms),
@@ -161,6 +184,11 @@
                 window: Duration::from_secs_f64(raw.retry_window_s),
                 extra: raw.retry_extra,
             },
+            quota: Quota {
+                window: Duration::from_secs_f64(raw.quota_window_s),
+                overage: raw.quota_overage,
+                slack: raw.quota_slack,
+            },
             load: Load {
                 window: Duration::from_secs_f64(raw.load_window_s),
                 overage: raw.load_overage,
