Tenants: quotas hold over all instances together

Cause: the environment gives tenants a quota, and nothing enforced it.

Change: crates/gateway/src/quota. Tenants fall into four slots; the owner of a slot, by rendezvous hash, grants tokens from a bucket (Ledger), the others ask it over their links with quota_ask, at most one outstanding for a tenant, and spend what they got within 1 s (Allowance). An owner's part grows only after TAKEOVER_TIME and shrinks at once. Without an owner an instance keeps to its equal share. A request is admitted after its body was read and before it is counted as demand; 429 quota_exceeded with Retry-After otherwise. Tokens of a request that this instance refuses later with 408, 421, 429 or 503 are returned. An instance of a hierarchical topology keeps links to the owners while a tenant has a quota; without one nothing is sent, linked or computed.

Ruled out: a sum of tokens in an ask. The owner would grant a part of it that fits no request and is lost at each instance, so that an ask lists the cost of each waiting request. One time for the pause of an instance and the return of its callers: callers return one after the other, and the instance would stay silent until the last of them.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -101,6 +101,7 @@
             Err(error) => log::warn!(error:% = error; "row of an instance is malformed"),
         }
     }
+    gateway.quota.record_members_read();
     // The links depend on how many instances there are.
     gateway.update_topology();
     for address in addresses {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,14 +17,14 @@
 use crate::refusal::{Reason, Refusal};
 use crate::span::millis;
 use crate::tenant::{Directory, Tenant};
-use crate::{call, relay, stream_origin};
+use crate::{call, quota, relay, stream_origin};
 
 /// Reads one request of a caller, forwards it and returns the response.
 pub(crate) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let arrived = gateway.now();
     let (head, body) = request.into_parts();
     let mut response = match accept(&gateway, head, body, arrived).await {
-        Ok(exchange) => forward(&gateway, Arc::new(exchange)).await,
+        Ok(exchange) => admit(&gateway, Arc::new(exchange)).await,
         Err(response) => response,
     };
     if gateway.leaving.is_cancelled() {
@@ -117,7 +117,24 @@
     tenant.map(Arc::clone).ok_or(reason)
 }
 
-async fn forward(gateway: &Arc<Gateway>, exchange: Arc<Exchange>) -> Response<Body> {
+// Forwards a request that the quota of its tenant admits.
+async fn admit(gateway: &Arc<Gateway>, exchange: Arc<Exchange>) -> Response<Body> {
+    let forwarded = match quota::admit(gateway, &exchange).await {
+        Ok(permit) => {
+            let forwarded = forward(gateway, Arc::clone(&exchange)).await;
+            forwarded.inspect_err(|refusal| {
+                quota::refund(gateway, &exchange, permit.as_ref(), refusal);
+            })
+        }
+        Err(refusal) => Err(refusal),
+    };
+    forwarded.unwrap_or_else(|refusal| refuse(gateway, Some(&exchange.call), &refusal))
+}
+
+async fn forward(
+    gateway: &Arc<Gateway>,
+    exchange: Arc<Exchange>,
+) -> Result<Response<Body>, Refusal> {
     let now = gateway.now();
     // The instance that handed a request over has counted it.
     let is_new = exchange.call.handed_over_by.is_none();
@@ -130,17 +147,14 @@
             .demand
             .record_arrival(&exchange.service, &target.model, objective);
     }
-    let required = match stream_origin::required(gateway, &exchange).await {
-        Ok(required) => required,
-        Err(refusal) => return refuse(gateway, Some(&exchange.call), &refusal),
-    };
+    let required = stream_origin::required(gateway, &exchange).await?;
     let mut attempt = Attempt::new(Arc::clone(gateway), Arc::clone(&exchange), required);
-    match attempt.run().await {
-        Ok(RunnerResponse::Complete(head, body)) => {
+    let response = match attempt.run().await? {
+        RunnerResponse::Complete(head, body) => {
             let parts = gateway.ports.protocol.response_head(&head);
             Response::from_parts(parts, Body::from(body))
         }
-        Ok(RunnerResponse::Stream(stream)) => {
+        RunnerResponse::Stream(stream) => {
             let runner = stream.delivery.chosen.runner.clone();
             stream_origin::record_stream(gateway, &exchange, runner.software());
             let (mut parts, body) = relay::start(attempt, *stream).into_parts();
@@ -150,7 +164,7 @@
             }
             Response::from_parts(parts, body)
         }
-        Ok(RunnerResponse::Relayed(head, body)) => {
+        RunnerResponse::Relayed(head, body) => {
             let protocol = &gateway.ports.protocol;
             if let Some(software) = protocol.software(&head) {
                 stream_origin::record_stream(gateway, &exchange, &software);
@@ -158,8 +172,8 @@
             let parts = protocol.response_head(&head);
             Response::from_parts(parts, Body::Relayed(body))
         }
-        Err(refusal) => refuse(gateway, Some(&exchange.call), &refusal),
-    }
+    };
+    Ok(response)
 }
 
 // A peer may offer a request that this instance cannot serve to others.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
 use crate::term::Term;
 use crate::topology::Topology;
 use crate::trial::Trials;
-use crate::{Result, buffering, fetch, id, quarantine, reach, software};
+use crate::{Result, buffering, fetch, id, quarantine, quota, reach, software};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -80,7 +80,7 @@
     pub(crate) incarnation: id::Incarnation,
     pub(crate) clock: Arc<dyn Clock>,
     /// Time at which this instance started.
-    started: Duration,
+    pub(crate) started: Duration,
     pub(crate) ports: Ports,
     document: RwLock<Option<Document>>,
     /// Start of this instance, until it may serve.
@@ -119,6 +119,8 @@
     pub(crate) service_times: ServiceTimeEstimator,
     pub(crate) event_gaps: EventGapEstimator,
     pub(crate) budget: Budget,
+    /// Quotas of tenants.
+    pub(crate) quota: quota::Service,
     pub(crate) demand: Arc<Counter>,
     pub(crate) demand_rates: DemandEstimator,
     pub(crate) members: Members,
@@ -187,6 +189,7 @@
             service_times: ServiceTimeEstimator::default(),
             event_gaps: EventGapEstimator::default(),
             budget: Budget::new(settings.retry),
+            quota: quota::Service::new(settings.quota),
             demand: Arc::default(),
             demand_rates: DemandEstimator::default(),
             members: Members::new(&settings.data_centre),
@@ -399,12 +402,19 @@
         fanout::relation(&self.topology.borrow(), data_centre, peer, is_open)
     }
 
-    /// Recomputes the links to keep.
+    /// Whether this instance has started so lately that others may be live although they have
+    /// not reported yet.
+    pub(crate) fn is_settling(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started) < SETTLE_TIME
+    }
+
+    /// Recomputes the links to keep, and the owners of the quota slots.
     pub(crate) fn update_topology(&self) {
         let own = self.settings.listen.peers;
         let now = self.now();
-        let is_settling = now.saturating_sub(self.started) < SETTLE_TIME;
-        let topology = self.members.topology(own, is_settling, now);
+        let is_settling = self.is_settling(now);
+        let owners = self.quota.refresh(self, now);
+        let topology = self.members.topology(own, &owners, is_settling, now);
         self.topology.send_if_modified(|current| {
             if *current == topology {
                 return false;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod prefix;
 pub mod protocol;
 pub mod quarantine;
+pub mod quota;
 pub mod rate;
 pub mod reach;
 pub mod refusal;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -18,8 +18,8 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     queue: mpsc::Sender<mesh::Message>,
-    /// Senders of the replies to adapter requests, by request id.
-    pending: Mutex<BTreeMap<u64, oneshot::Sender<bool>>>,
+    adapter_requests: Pending<bool>,
+    asks: Pending<mesh::QuotaGrant>,
     next_id: AtomicU64,
 }
 
@@ -29,7 +29,8 @@
         let (queue, messages) = mpsc::channel(QUEUE);
         let link = Self {
             queue,
-            pending: Mutex::default(),
+            adapter_requests: Pending::default(),
+            asks: Pending::default(),
             next_id: AtomicU64::new(1),
         };
         (Arc::new(link), messages)
@@ -44,9 +45,7 @@
         adapter: &str,
     ) -> Option<bool> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.pending.lock().insert(id, sender);
-        let _pending = Pending { link: self, id };
+        let reply = self.adapter_requests.expect(id);
         let request = mesh::AdapterRequest {
             id,
             runner: runner.to_owned(),
@@ -57,7 +56,19 @@
         if self.queue.try_send(message).is_err() {
             return None;
         }
-        receiver.await.ok()
+        reply.receive().await
+    }
+
+    /// Asks for tokens of a tenant and waits for the answer. Returns `None` if the connection
+    /// is closed or its queue is full.
+    pub(crate) async fn ask(&self, ask: mesh::QuotaAsk) -> Option<mesh::QuotaGrant> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let reply = self.asks.expect(id);
+        let message = mesh::Message::QuotaAsk(mesh::QuotaAsk { id, ..ask });
+        if self.queue.try_send(message).is_err() {
+            return None;
+        }
+        reply.receive().await
     }
 
     /// Queues a message; drops it if the queue is full or closed.
@@ -69,22 +80,64 @@
 
     /// Completes the adapter request that `reply` belongs to.
     pub(crate) fn complete(&self, reply: &mesh::AdapterReply) {
-        if let Some(sender) = self.pending.lock().remove(&reply.id) {
+        self.adapter_requests.complete(reply.id, reply.loaded);
+    }
+
+    /// Completes the ask that `grant` belongs to.
+    pub(crate) fn complete_ask(&self, grant: mesh::QuotaGrant) {
+        self.asks.complete(grant.id, grant);
+    }
+}
+
+/// Requests without a reply, by id.
+#[derive(Debug)]
+struct Pending<T> {
+    senders: Mutex<BTreeMap<u64, oneshot::Sender<T>>>,
+}
+
+impl<T> Default for Pending<T> {
+    fn default() -> Self {
+        Self {
+            senders: Mutex::default(),
+        }
+    }
+}
+
+impl<T> Pending<T> {
+    fn expect(&self, id: u64) -> Reply<'_, T> {
+        let (sender, receiver) = oneshot::channel();
+        self.senders.lock().insert(id, sender);
+        Reply {
+            pending: self,
+            id,
+            receiver,
+        }
+    }
+
+    fn complete(&self, id: u64, reply: T) {
+        if let Some(sender) = self.senders.lock().remove(&id) {
             // Fails if the request has ended.
-            let _ = sender.send(reply.loaded);
+            let _ = sender.send(reply);
         }
     }
 }
 
-/// An adapter request without a reply, which is forgotten when its wait ends.
-struct Pending<'a> {
-    link: &'a Link,
+/// A reply that is expected, which is forgotten when the wait for it ends.
+struct Reply<'a, T> {
+    pending: &'a Pending<T>,
     id: u64,
+    receiver: oneshot::Receiver<T>,
+}
+
+impl<T> Reply<'_, T> {
+    async fn receive(mut self) -> Option<T> {
+        (&mut self.receiver).await.ok()
+    }
 }
 
-impl Drop for Pending<'_> {
+impl<T> Drop for Reply<'_, T> {
     fn drop(&mut self) {
-        self.link.pending.lock().remove(&self.id);
+        self.pending.senders.lock().remove(&self.id);
     }
 }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,6 +1,6 @@
 //! Membership: the other instances and their last reported state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,7 +12,7 @@
 
 use crate::runner_limit::Position;
 use crate::topology::{self, Topology};
-use crate::{id, report_timing, span};
+use crate::{id, quota, report_timing, span};
 
 /// Minimum number of serving instances in a data centre with which its directory
 /// omits those of other data centres.
@@ -199,10 +199,16 @@
         self.local_group_size(&inner)
     }
 
-    /// Selects the links of the instance at `own`. While it `is_settling`, instances that
-    /// have not reported yet may be live.
+    /// Selects the links of the instance at `own`, with those to the `owners` of quota slots.
+    /// While it `is_settling`, instances that have not reported yet may be live.
     #[must_use]
-    pub fn topology(&self, own: SocketAddr, is_settling: bool, now: Duration) -> Topology {
+    pub fn topology(
+        &self,
+        own: SocketAddr,
+        owners: &BTreeSet<id::Instance>,
+        is_settling: bool,
+        now: Duration,
+    ) -> Topology {
         let leader = self.leader(now).map(|(instance, _)| instance);
         let inner = self.inner.lock();
         let timeout = self.failure_timeout(&inner);
@@ -217,6 +223,7 @@
             members: &inner,
             live: &live,
             leader: leader.as_ref(),
+            owners,
             is_settling,
             now,
         })
@@ -389,6 +396,52 @@
         inner.get(instance).is_some_and(|member| member.follows)
     }
 
+    /// Returns the owners of the quota slots: instances that are live, ready and not leaving,
+    /// among them `own` if it is given.
+    #[must_use]
+    pub fn quota_owners(
+        &self,
+        own: Option<&id::Instance>,
+        now: Duration,
+    ) -> [Option<id::Instance>; quota::SLOTS] {
+        let inner = self.inner.lock();
+        let timeout = self.failure_timeout(&inner);
+        let candidates = inner
+            .iter()
+            .filter(|(_, member)| member.is_live(now, timeout(member)))
+            .filter(|(_, member)| member.is_ready && !member.is_leaving)
+            .map(|(instance, _)| instance);
+        quota::owners(candidates.chain(own)).map(Option::<&_>::cloned)
+    }
+
+    /// Number of live instances, this one included.
+    #[must_use]
+    pub fn live_count(&self, now: Duration) -> usize {
+        let inner = self.inner.lock();
+        let timeout = self.failure_timeout(&inner);
+        let is_live = |member: &&Member| member.is_live(now, timeout(member));
+        1 + inner.values().filter(is_live).count()
+    }
+
+    /// Time after which an instance that is out of reach counts as such here, wherever it is.
+    #[must_use]
+    pub fn detection_time(&self) -> Duration {
+        let inner = self.inner.lock();
+        let local = report_timing::timeout(self.local_group_size(&inner));
+        if topology::is_hierarchical(inner.len() + 1) {
+            local + report_timing::SUMMARY_TIMEOUT
+        } else {
+            local
+        }
+    }
+
+    /// Whether all other known instances have reported.
+    #[must_use]
+    pub fn all_report(&self) -> bool {
+        let inner = self.inner.lock();
+        inner.values().all(|member| member.last_report.is_some())
+    }
+
     /// Number of instances that shared limits are divided among: this one and all
     /// others, except those whose last report is older than `SHARE_TTL`.
     #[must_use]
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,7 +19,7 @@
 use crate::links::Link;
 use crate::report::Reports;
 use crate::span::millis;
-use crate::{Result, adapter_request, crash_report, report, tcp};
+use crate::{Result, adapter_request, crash_report, quota, report, tcp};
 
 /// Timeout for the handshake, sends and unacknowledged data.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -137,6 +137,7 @@
             let message = reader.next().await?;
             match message {
                 Message::AdapterReply(reply) => link.complete(&reply),
+                Message::QuotaGrant(grant) => link.complete_ask(grant),
                 message => handle(gateway, &peer, message),
             }
         }
@@ -252,6 +253,10 @@
             Message::AdapterRequest(request) => {
                 adapter_request::serve(gateway, request, replies.clone());
             }
+            Message::QuotaAsk(ask) => {
+                let grant = quota::serve(gateway, ask);
+                writer.send(&Message::QuotaGrant(grant)).await?;
+            }
             message => handle(gateway, &peer, message),
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,19 +1,27 @@
 //! Counters and latency histograms in the Prometheus format.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use parking_lot::Mutex;
 use prometheus::{Registry, TextEncoder};
 
-use crate::Result;
 use crate::error::Code;
+use crate::{Result, id};
 
 const SECONDS_BOUNDS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Tenants that are named in the metrics.
+const MAX_TENANTS: usize = 64;
+/// Label of all others.
+const OTHER_TENANTS: &str = "other";
+
 /// Metrics of one instance. Clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -28,6 +36,11 @@
     links: Counter<u64>,
     fetches: Counter<u64>,
     environments: Counter<u64>,
+    quota_requests: Counter<u64>,
+    quota_tokens: Counter<u64>,
+    quota_asks: Counter<u64>,
+    /// Tenants with series of their own.
+    tenants: Arc<Mutex<BTreeSet<id::Tenant>>>,
     latency: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
@@ -79,6 +92,19 @@
                 "almondbank_environments_received",
                 "Environments received from other instances, by whether they were newer.",
             ),
+            quota_requests: counter(
+                "almondbank_quota_requests",
+                "Requests of tenants with a quota, by tenant and decision.",
+            ),
+            quota_tokens: counter(
+                "almondbank_quota_tokens",
+                "Units of their quotas that tenants have used, by tenant.",
+            ),
+            quota_asks: counter(
+                "almondbank_quota_asks",
+                "Asks to other instances for units of quotas, by whether they were answered.",
+            ),
+            tenants: Arc::default(),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -147,6 +173,46 @@
             .add(1, &[KeyValue::new("newer", is_newer)]);
     }
 
+    /// Counts a request that the quota of its tenant admits, and its tokens.
+    pub fn quota_admitted(&self, tenant: &str, tokens: u64, is_local: bool) {
+        let label = self.tenant_label(tenant);
+        let decision = if is_local {
+            "admitted_by_share"
+        } else {
+            "admitted"
+        };
+        let decision = KeyValue::new("decision", decision);
+        self.quota_requests.add(1, &[label.clone(), decision]);
+        self.quota_tokens.add(tokens, &[label]);
+    }
+
+    /// Counts a request that the quota of its tenant does not admit.
+    pub fn quota_refused(&self, tenant: &str, is_local: bool) {
+        let decision = if is_local {
+            "refused_by_share"
+        } else {
+            "refused"
+        };
+        let decision = KeyValue::new("decision", decision);
+        let labels = [self.tenant_label(tenant), decision];
+        self.quota_requests.add(1, &labels);
+    }
+
+    /// Counts an ask to another instance for units of a quota.
+    pub fn quota_ask(&self, is_answered: bool) {
+        let label = KeyValue::new("answered", is_answered);
+        self.quota_asks.add(1, &[label]);
+    }
+
+    // The first tenants have series of their own, so that their number is bounded.
+    fn tenant_label(&self, tenant: &str) -> KeyValue {
+        let mut tenants = self.tenants.lock();
+        let is_named = tenants.contains(tenant)
+            || (tenants.len() < MAX_TENANTS && tenants.insert(tenant.to_owned()));
+        let name = if is_named { tenant } else { OTHER_TENANTS };
+        KeyValue::new("tenant", name.to_owned())
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn page(&self) -> String {
--- /dev/null
+++ b/crates/gateway/src/quota/account.rs
@@ -0,0 +1,105 @@
+//! The tokens of one tenant at the owner.
+
+use std::time::Duration;
+
+use crate::quota::{Ask, Bucket, GRANT_LIFETIME, Grant};
+use crate::tenant::Quota;
+
+/// Part of the tokens, once a bucket holds more than that, that is granted for requests which
+/// have not arrived. The rest is left for instances that have requests.
+const RESERVED: f64 = 0.5;
+/// Part of the rate by which refused callers are told to return. The rest is left for new
+/// requests.
+const RETURN_SHARE: f64 = 0.5;
+/// Longest time for which callers are told to stay away, beyond the wait for the tokens of
+/// one request.
+const MAX_RETURN: Duration = Duration::from_secs(30);
+/// Shortest time until a refused instance asks again, which bounds the asks for a tenant far
+/// over its quota.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Tokens of one tenant, and when refused callers were told to return.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Account {
+    bucket: Bucket,
+    /// Tokens per second.
+    rate: f64,
+    /// Time at which the last refused caller returns.
+    booked_until: Duration,
+}
+
+impl Account {
+    /// Creates an account that has granted nothing since `granting_since`.
+    pub(crate) fn new(quota: &Quota, fraction: f64, granting_since: Duration) -> Self {
+        let rate = quota.rate * fraction;
+        Self {
+            bucket: Bucket::empty(rate, quota.burst * fraction, granting_since),
+            rate,
+            booked_until: Duration::ZERO,
+        }
+    }
+
+    /// Whether it is as a new one would be.
+    pub(crate) fn is_idle(&mut self, now: Duration) -> bool {
+        self.booked_until <= now && self.bucket.tokens(now) >= self.bucket.cap()
+    }
+
+    /// Applies the current quota and the part of it that this owner grants.
+    pub(crate) fn resize(&mut self, quota: &Quota, fraction: f64, now: Duration) {
+        self.rate = quota.rate * fraction;
+        self.bucket.resize(self.rate, quota.burst * fraction, now);
+    }
+
+    /// Grants tokens for as many of the first requests as there are enough for.
+    pub(crate) fn grant(&mut self, ask: &Ask, now: Duration) -> Grant {
+        let bucket = &mut self.bucket;
+        let served = ask.costs.iter();
+        let served = served.take_while(|cost| bucket.take(float(**cost), now));
+        let (count, tokens) = served.fold((0, 0), |(count, sum), cost| (count + 1, sum + cost));
+        let mut grant = Grant {
+            tokens,
+            lifetime: GRANT_LIFETIME,
+            ..Grant::default()
+        };
+        if let Some(first) = ask.costs.get(count) {
+            let refused = ask.costs[count..].iter().sum::<u64>() + ask.refused;
+            grant.pause = self.bucket.wait(float(*first), now).max(MIN_PAUSE);
+            self.book(&mut grant, refused, now);
+        } else {
+            grant.tokens += self.prefetch(ask.prefetch, now);
+        }
+        grant
+    }
+
+    fn prefetch(&mut self, wanted: u64, now: Duration) -> u64 {
+        let free = self.bucket.tokens(now) - self.bucket.cap() * RESERVED;
+        let tokens = whole(free).min(wanted);
+        let is_taken = tokens > 0 && self.bucket.take_whole(float(tokens), now);
+        if is_taken { tokens } else { 0 }
+    }
+
+    // Refused callers return one after the other, at a rate at which their requests can be
+    // served. Nothing is kept for them: others may use the tokens first.
+    fn book(&mut self, grant: &mut Grant, refused: u64, now: Duration) {
+        let soonest = now + grant.pause;
+        let mut start = self.booked_until.max(soonest);
+        if start > soonest + MAX_RETURN {
+            start = soonest;
+        }
+        let spread = float(refused) / (self.rate * RETURN_SHARE);
+        let spread = Duration::try_from_secs_f64(spread).unwrap_or(MAX_RETURN);
+        self.booked_until = start + spread;
+        grant.retry_after = start.saturating_sub(now);
+        grant.spread = spread.min(MAX_RETURN);
+    }
+}
+
+fn float(tokens: u64) -> f64 {
+    f64::from(u32::try_from(tokens).unwrap_or(u32::MAX))
+}
+
+// Tokens that the fraction of one is left out of.
+fn whole(tokens: f64) -> u64 {
+    let tokens = tokens.floor().clamp(0.0, f64::from(u32::MAX));
+    Duration::from_secs_f64(tokens).as_secs()
+}
--- /dev/null
+++ b/crates/gateway/src/quota/ledger.rs
@@ -0,0 +1,112 @@
+//! What an instance grants to the others for the slots that it owns.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id;
+use crate::quota::account::Account;
+use crate::quota::owner::slot;
+use crate::quota::standing::Standing;
+use crate::quota::{Ask, Grant, SLOTS, TAKEOVER_TIME, View};
+use crate::tenant::Quota;
+
+/// Time without an update after which the process may have been suspended, while another
+/// instance became the owner.
+const SUSPENSION_TIME: Duration = Duration::from_secs(1);
+/// Interval at which idle accounts are removed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Tokens that this instance grants as the owner of slots.
+#[derive(Debug)]
+pub struct Ledger {
+    takeover: Duration,
+    standings: [Option<Standing>; SLOTS],
+    accounts: BTreeMap<id::Tenant, Account>,
+    observed_at: Duration,
+    swept_at: Duration,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::with_takeover(TAKEOVER_TIME)
+    }
+}
+
+impl Ledger {
+    /// Creates a ledger whose parts grow after `takeover`.
+    #[must_use]
+    pub fn with_takeover(takeover: Duration) -> Self {
+        Self {
+            takeover,
+            standings: [const { None }; SLOTS],
+            accounts: BTreeMap::new(),
+            observed_at: Duration::ZERO,
+            swept_at: Duration::ZERO,
+        }
+    }
+
+    /// Records what this instance sees of the others; called several times a second.
+    pub fn observe(&mut self, view: &View, now: Duration) {
+        self.check_suspension(now);
+        self.observed_at = now;
+        let fraction = view.fraction();
+        let takeover = self.takeover;
+        let mut has_lost = false;
+        for (slot, (standing, owns)) in self.standings.iter_mut().zip(view.owns).enumerate() {
+            if !owns {
+                if standing.take().is_some() {
+                    has_lost = true;
+                    log::info!(slot; "no longer the owner of a quota slot");
+                }
+                continue;
+            }
+            let standing = standing.get_or_insert_with(|| {
+                log::info!(slot; "owner of a quota slot");
+                Standing::new(takeover, now)
+            });
+            standing.observe(fraction, now);
+        }
+        if now.saturating_sub(self.swept_at) >= SWEEP_INTERVAL {
+            self.swept_at = now;
+            self.accounts.retain(|_, account| !account.is_idle(now));
+        }
+        if has_lost {
+            let standings = &self.standings;
+            self.accounts
+                .retain(|tenant, _| granting(standings, tenant).is_some());
+        }
+    }
+
+    /// Grants tokens of a tenant; returns `None` if this instance does not grant any for it.
+    pub fn grant(
+        &mut self,
+        tenant: &str,
+        quota: &Quota,
+        ask: &Ask,
+        now: Duration,
+    ) -> Option<Grant> {
+        self.check_suspension(now);
+        let (fraction, since) = granting(&self.standings, tenant)?;
+        if !self.accounts.contains_key(tenant) {
+            let account = Account::new(quota, fraction, since);
+            self.accounts.insert(tenant.to_owned(), account);
+        }
+        let account = self.accounts.get_mut(tenant)?;
+        account.resize(quota, fraction, now);
+        Some(account.grant(ask, now))
+    }
+
+    // Another instance may have become the owner while this process was suspended.
+    fn check_suspension(&mut self, now: Duration) {
+        if now.saturating_sub(self.observed_at) >= SUSPENSION_TIME {
+            self.standings = [const { None }; SLOTS];
+            self.accounts.clear();
+        }
+    }
+}
+
+// Part of the tenant's quota that is granted, and since when there is one.
+fn granting(standings: &[Option<Standing>; SLOTS], tenant: &str) -> Option<(f64, Duration)> {
+    let standing = standings[slot(tenant)].as_ref()?;
+    Some((standing.fraction(), standing.granting_since?))
+}
--- /dev/null
+++ b/crates/gateway/src/quota/service.rs
@@ -0,0 +1,139 @@
+//! The quotas at one instance: what it grants, and what it holds.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use almondbank_wire::gateway::Quota as Bound;
+use almondbank_wire::mesh;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::oneshot;
+
+use crate::gateway::Gateway;
+use crate::id;
+use crate::quota::{Allowance, Ask, Grant, Ledger, SLOTS, Share, Verdict, View, slot};
+use crate::span::millis;
+use crate::tenant::{Directory, Quota};
+
+/// Time after the start in which the others may not have registered yet.
+const REGISTER_TIME: Duration = Duration::from_secs(1);
+
+/// The quotas at one instance. Without tenants that have one, it holds and does nothing.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) allowance: Mutex<Allowance<oneshot::Sender<Verdict>>>,
+    ledger: Mutex<Ledger>,
+    owners: RwLock<[Option<id::Instance>; SLOTS]>,
+    /// Whether the environment has tenants with a quota.
+    is_active: AtomicBool,
+    /// Whether the rows of all instances were read since the start.
+    has_read_members: AtomicBool,
+}
+
+impl Service {
+    pub(crate) fn new(bound: Bound) -> Self {
+        Self {
+            allowance: Mutex::new(Allowance::new(bound)),
+            ledger: Mutex::default(),
+            owners: RwLock::default(),
+            is_active: AtomicBool::new(false),
+            has_read_members: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the rows of all instances were read.
+    pub(crate) fn record_members_read(&self) {
+        self.has_read_members.store(true, Ordering::Relaxed);
+    }
+
+    /// Records who is live; returns the other instances that own slots.
+    pub(crate) fn refresh(&self, gateway: &Gateway, now: Duration) -> BTreeSet<id::Instance> {
+        let environment = gateway.environment();
+        let tenants = environment
+            .as_ref()
+            .and_then(|active| active.tenants.as_ref());
+        let is_active = tenants.is_some_and(Directory::has_quotas);
+        let was_active = self.is_active.swap(is_active, Ordering::Relaxed);
+        if !is_active {
+            if was_active {
+                *self.ledger.lock() = Ledger::default();
+                *self.owners.write() = Default::default();
+            }
+            return BTreeSet::new();
+        }
+        let own = &gateway.settings.instance;
+        let may_own = gateway.is_ready() && !gateway.is_cut_off();
+        let owners = gateway.members.quota_owners(may_own.then_some(own), now);
+        let view = View {
+            owns: owners.each_ref().map(|owner| owner.as_ref() == Some(own)),
+            reachable: gateway.members.live_count(now),
+            all: gateway.members.share_count(now),
+        };
+        self.ledger.lock().observe(&view, now);
+        self.allowance.lock().sweep(now);
+        let others = owners.iter().flatten().filter(|owner| *owner != own);
+        let others = others.cloned().collect();
+        let is_same = *self.owners.read() == owners;
+        if !is_same {
+            *self.owners.write() = owners;
+        }
+        others
+    }
+
+    /// Returns the owner of a tenant's quota.
+    pub(crate) fn owner(&self, tenant: &str) -> Option<id::Instance> {
+        self.owners.read()[slot(tenant)].clone()
+    }
+
+    /// Grants tokens of a tenant, if this instance owns its slot and is past the takeover.
+    pub(crate) fn grant(
+        &self,
+        tenant: &str,
+        quota: &Quota,
+        ask: &Ask,
+        now: Duration,
+    ) -> Option<Grant> {
+        self.ledger.lock().grant(tenant, quota, ask, now)
+    }
+
+    /// Returns what this instance needs to know for its equal share.
+    pub(crate) fn share(&self, gateway: &Gateway, tenant: &str, now: Duration) -> Share {
+        let members = &gateway.members;
+        let age = now.saturating_sub(gateway.started);
+        let has_heard = self.has_read_members.load(Ordering::Relaxed) && members.all_report();
+        Share {
+            position: members.share_position(&gateway.settings.instance, tenant, now),
+            detection: members.detection_time(),
+            is_settled: !gateway.is_settling(now) || (age >= REGISTER_TIME && has_heard),
+        }
+    }
+}
+
+/// Answers the ask of a peer.
+pub(crate) fn serve(gateway: &Gateway, ask: mesh::QuotaAsk) -> mesh::QuotaGrant {
+    let environment = gateway.environment();
+    let tenants = environment
+        .as_ref()
+        .and_then(|active| active.tenants.as_ref());
+    let tenant = tenants.and_then(|tenants| tenants.get(&ask.tenant));
+    let quota = tenant.and_then(|tenant| tenant.quota);
+    let wanted = Ask {
+        costs: ask.costs,
+        prefetch: ask.prefetch,
+        refused: ask.refused,
+        timeout: Duration::ZERO,
+    };
+    let now = gateway.now();
+    let grant = quota.and_then(|quota| gateway.quota.grant(&ask.tenant, &quota, &wanted, now));
+    let granting = grant.is_some();
+    let grant = grant.unwrap_or_default();
+    mesh::QuotaGrant {
+        id: ask.id,
+        granting,
+        tokens: grant.tokens,
+        expires_ms: millis(grant.lifetime),
+        pause_ms: millis(grant.pause),
+        retry_after_ms: millis(grant.retry_after),
+        spread_ms: millis(grant.spread),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota/view.rs
@@ -0,0 +1,23 @@
+//! What an instance sees of the others.
+
+use crate::quota::SLOTS;
+
+/// What an instance sees of the membership, as far as it decides on what it grants.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct View {
+    /// Whether this instance is the owner, by slot.
+    pub owns: [bool; SLOTS],
+    /// Live instances, including this one.
+    pub reachable: usize,
+    /// Instances that quotas are divided among, including this one.
+    pub all: usize,
+}
+
+impl View {
+    /// Part of each quota that this instance may grant.
+    #[must_use]
+    pub fn fraction(&self) -> f64 {
+        let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+        (count(self.reachable) / count(self.all.max(1))).min(1.0)
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -14,6 +14,8 @@
     BodyTooLong,
     /// The route needs a key, and the request has none that the environment lists.
     Unauthorized,
+    /// The tenant has used up its quota.
+    QuotaExceeded,
     /// No route of the environment matches the request.
     NoRoute,
     /// The instance is shutting down and does not complete the request.
@@ -73,6 +75,12 @@
         }
     }
 
+    /// Whether the status promises that the request has not run and will not run later.
+    #[must_use]
+    pub fn promises_no_run(&self) -> bool {
+        matches!(self.reason.status(), 408 | 421 | 429 | 503)
+    }
+
     /// Sets the delay after which the caller may retry.
     #[must_use]
     pub fn with_retry_after(mut self, delay: Duration) -> Self {
@@ -82,8 +90,8 @@
 }
 
 impl Reason {
-    /// Returns the HTTP status. 503 guarantees that the request has not run and
-    /// will not run later.
+    /// Returns the HTTP status. 429 and 503 guarantee that the request has
+    /// not run and will not run later.
     #[must_use]
     pub fn status(self) -> u16 {
         match self {
@@ -91,6 +99,7 @@
             Self::Unauthorized => 401,
             Self::NoRoute => 404,
             Self::BodyTooLong => 413,
+            Self::QuotaExceeded => 429,
             Self::Leaving
             | Self::NoEnvironment
             | Self::NoRunner
--- a/crates/gateway/src/tenant/directory.rs
+++ b/crates/gateway/src/tenant/directory.rs
@@ -14,11 +14,13 @@
 pub struct Directory {
     by_name: BTreeMap<id::Tenant, Arc<Tenant>>,
     by_key: BTreeMap<id::KeyDigest, Arc<Tenant>>,
+    has_quotas: bool,
 }
 
 impl Directory {
     /// Adds a tenant with the digests of its keys.
     pub fn insert(&mut self, tenant: Tenant, keys: impl IntoIterator<Item = id::KeyDigest>) {
+        self.has_quotas |= tenant.quota.is_some();
         let tenant = Arc::new(tenant);
         let keys = keys.into_iter().map(|key| (key, Arc::clone(&tenant)));
         self.by_key.extend(keys);
@@ -40,6 +42,12 @@
         self.by_name.get(name)
     }
 
+    /// Whether a tenant has a quota.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Returns all tenants, by name.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Tenant>> {
         self.by_name.values()
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -2,7 +2,8 @@
 //!
 //! Up to `MAX_FULL_MESH` instances form a full mesh, whose number of links and
 //! reports grows quadratically. Larger deployments are hierarchical: an instance
-//! is linked with the instances of its data centre and with the leader. The delegate
+//! is linked with the instances of its data centre, with the leader, and with the owners of
+//! quota slots, if tenants have quotas. The delegate
 //! of a data centre is the instance that sends messages to the other data centres on
 //! behalf of its own, to one instance of each.
 
@@ -56,6 +57,8 @@
     pub live: &'a BTreeSet<id::Instance>,
     /// Leader, if it is another instance.
     pub leader: Option<&'a id::Instance>,
+    /// Owners of quota slots, if tenants have quotas.
+    pub owners: &'a BTreeSet<id::Instance>,
     /// Whether this instance has started so lately that others may be live although
     /// they have not reported yet.
     pub is_settling: bool,
@@ -110,7 +113,8 @@
     };
     let addresses = local().map(|(_, member)| member.peers);
     let local_addresses: BTreeSet<_> = addresses.collect();
-    let remote = remotes.values().flatten().chain(view.leader);
+    let remote = remotes.values().flatten();
+    let remote = remote.chain(view.leader).chain(view.owners);
     let remote = remote.filter_map(|instance| view.members.get(instance));
     Topology {
         is_hierarchical: true,
--- a/crates/gateway/tests/topology.rs
+++ b/crates/gateway/tests/topology.rs
@@ -61,7 +61,10 @@
     let live = (0..count).filter(|number| !silent.contains(number));
     live.map(|own| {
         let members = members(own, count, data_centres, silent);
-        (own, members.topology(address(own), false, NOW))
+        (
+            own,
+            members.topology(address(own), &BTreeSet::new(), false, NOW),
+        )
     })
     .collect()
 }
@@ -129,6 +132,7 @@
         members: &known,
         live: &live,
         leader: None,
+        owners: &BTreeSet::new(),
         is_settling: false,
         now: now + Duration::from_secs(second),
     })
