Quotas: instances on their share are taken off the owner's part

Change: an ask says on_share, and the owner grants less by one share for each such instance until it asks without. The longest pause and wait are bounded.

Ruled out: an instance that reports afterwards what it spent. After an owner that was frozen for some seconds, the tenant would pay for them twice.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -254,7 +254,7 @@
                 adapter_request::serve(gateway, request, replies.clone());
             }
             Message::QuotaAsk(ask) => {
-                let grant = quota::serve(gateway, ask);
+                let grant = quota::serve(gateway, &peer.instance, ask);
                 writer.send(&Message::QuotaGrant(grant)).await?;
             }
             message => handle(gateway, &peer, message),
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -1,7 +1,9 @@
 //! The tokens of one tenant at the owner.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::id;
 use crate::quota::{Ask, Bucket, GRANT_LIFETIME, Grant};
 use crate::tenant::Quota;
 
@@ -14,18 +16,27 @@
 /// Longest time for which callers are told to stay away, beyond the wait for the tokens of
 /// one request.
 const MAX_RETURN: Duration = Duration::from_secs(30);
+/// Longest time that is told until there are tokens for one request.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+/// Longest time until a refused instance asks again, within which a raised limit applies.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Time after which an instance that spent its equal share and asks no more counts as one
+/// without demand. Instances on their share ask several times a second.
+const ON_SHARE_TIME: Duration = Duration::from_millis(1500);
 /// Shortest time until a refused instance asks again, which bounds the asks for a tenant far
 /// over its quota.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 
 /// Tokens of one tenant, and when refused callers were told to return.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Account {
     bucket: Bucket,
     /// Tokens per second.
     rate: f64,
     /// Time at which the last refused caller returns.
     booked_until: Duration,
+    /// Instances that spend their equal share, and when they said so.
+    on_share: BTreeMap<id::Instance, Duration>,
 }
 
 impl Account {
@@ -36,6 +47,7 @@
             bucket: Bucket::empty(rate, quota.burst * fraction, granting_since),
             rate,
             booked_until: Duration::ZERO,
+            on_share: BTreeMap::new(),
         }
     }
 
@@ -44,8 +56,23 @@
         self.booked_until <= now && self.bucket.tokens(now) >= self.bucket.cap()
     }
 
-    /// Applies the current quota and the part of it that this owner grants.
-    pub(crate) fn resize(&mut self, quota: &Quota, fraction: f64, now: Duration) {
+    /// Records whether the instance that asks spends its equal share: an owner that it reaches,
+    /// but that does not answer it in time.
+    pub(crate) fn record_asker(&mut self, asker: &str, ask: &Ask, now: Duration) {
+        if ask.on_share {
+            self.on_share.insert(asker.to_owned(), now);
+        } else if !self.on_share.is_empty() {
+            self.on_share.remove(asker);
+        }
+        self.on_share
+            .retain(|_, at| now.saturating_sub(*at) < ON_SHARE_TIME);
+    }
+
+    /// Applies the current quota and the part of it that this owner may grant, of which the
+    /// instances that spend their equal share have `share` each.
+    pub(crate) fn resize(&mut self, quota: &Quota, fraction: f64, share: f64, now: Duration) {
+        let taken = u32::try_from(self.on_share.len()).unwrap_or(u32::MAX);
+        let fraction = (fraction - share * f64::from(taken)).max(0.0);
         self.rate = quota.rate * fraction;
         self.bucket.resize(self.rate, quota.burst * fraction, now);
     }
@@ -63,8 +90,10 @@
         };
         if let Some(first) = ask.costs.get(count) {
             let refused = ask.costs[count..].iter().sum::<u64>() + ask.refused;
-            grant.pause = self.bucket.wait(float(*first), now).max(MIN_PAUSE);
-            self.book(&mut grant, refused, now);
+            let wait = self.bucket.wait(float(*first), now);
+            let wait = wait.clamp(MIN_PAUSE, MAX_WAIT);
+            grant.pause = wait.min(MAX_PAUSE);
+            self.book(&mut grant, now + wait, refused, now);
         } else {
             grant.tokens += self.prefetch(ask.prefetch, now);
         }
@@ -80,17 +109,17 @@
 
     // Refused callers return one after the other, at a rate at which their requests can be
     // served. Nothing is kept for them: others may use the tokens first.
-    fn book(&mut self, grant: &mut Grant, refused: u64, now: Duration) {
-        let soonest = now + grant.pause;
+    fn book(&mut self, grant: &mut Grant, soonest: Duration, refused: u64, now: Duration) {
         let mut start = self.booked_until.max(soonest);
         if start > soonest + MAX_RETURN {
             start = soonest;
         }
         let spread = float(refused) / (self.rate * RETURN_SHARE);
-        let spread = Duration::try_from_secs_f64(spread).unwrap_or(MAX_RETURN);
+        let spread =
+            Duration::try_from_secs_f64(spread).map_or(MAX_RETURN, |spread| spread.min(MAX_RETURN));
         self.booked_until = start + spread;
         grant.retry_after = start.saturating_sub(now);
-        grant.spread = spread.min(MAX_RETURN);
+        grant.spread = spread;
     }
 }
 
--- a/crates/gateway/src/quota/admission.rs
+++ b/crates/gateway/src/quota/admission.rs
@@ -121,7 +121,7 @@
     let mut next = Some(ask);
     while let Some(ask) = next {
         let asked_at = gateway.now();
-        let grant = obtain(&gateway, &tenant, &quota, &ask).await;
+        let grant = obtain(&gateway, limit, &ask).await;
         let now = gateway.now();
         let share = || gateway.quota.share(&gateway, &tenant.name, now);
         let draw = rand::random();
@@ -139,18 +139,20 @@
 }
 
 // Obtains the answer of the owner; `None` if it does not grant or does not answer in time.
-async fn obtain(gateway: &Gateway, tenant: &Tenant, quota: &Quota, ask: &Ask) -> Option<Grant> {
-    let owner = gateway.quota.owner(&tenant.name)?;
-    if owner == gateway.settings.instance {
-        return gateway.quota.grant(&tenant.name, quota, ask, gateway.now());
+async fn obtain(gateway: &Gateway, limit: Limit<'_>, ask: &Ask) -> Option<Grant> {
+    let own = &gateway.settings.instance;
+    let owner = gateway.quota.owner(limit.tenant)?;
+    if owner == *own {
+        return gateway.quota.grant(own, limit, ask, gateway.now());
     }
     let link = gateway.links.get(&owner)?;
     let message = mesh::QuotaAsk {
         id: 0,
-        tenant: tenant.name.clone(),
+        tenant: limit.tenant.to_owned(),
         costs: ask.costs.clone(),
         prefetch: ask.prefetch,
         refused: ask.refused,
+        on_share: ask.on_share,
     };
     let answer = time::timeout(ask.timeout, link.ask(message)).await;
     let grant = answer.ok().flatten();
--- a/crates/gateway/src/quota/allowance.rs
+++ b/crates/gateway/src/quota/allowance.rs
@@ -143,7 +143,9 @@
             return step;
         };
         holding.apply(grant, asked_at, now);
-        holding.serve(covered, draw, now, &mut step.verdicts);
+        holding.serve(covered, now, &mut step.verdicts);
+        // The owner is asked for those, too, that it will refuse, so that it tells when their
+        // callers may return.
         if !holding.waiting.is_empty() {
             step.ask = Some(holding.ask(now));
         }
@@ -193,13 +195,7 @@
 
     // Decides on the waiting requests after an answer to an ask that covered the first of
     // them.
-    fn serve(
-        &mut self,
-        covered: usize,
-        draw: f64,
-        now: Duration,
-        verdicts: &mut Vec<(W, Verdict)>,
-    ) {
+    fn serve(&mut self, covered: usize, now: Duration, verdicts: &mut Vec<(W, Verdict)>) {
         let mut left = covered;
         while let Some(waiting) = self.waiting.front()
             && let Some(permit) = self.spend(waiting.cost, now)
@@ -216,13 +212,6 @@
             let verdict = self.refuse(place, now);
             verdicts.extend(self.pop(verdict));
         }
-        for index in 0_u32.. {
-            let Some(waiting) = self.waiting.front() else {
-                break;
-            };
-            let verdict = self.refuse_paused(waiting.cost, spread(draw, index), now);
-            verdicts.extend(self.pop(verdict));
-        }
     }
 
     fn pop(&mut self, verdict: Verdict) -> Option<(W, Verdict)> {
--- a/crates/gateway/src/quota/ask.rs
+++ b/crates/gateway/src/quota/ask.rs
@@ -11,6 +11,8 @@
     pub prefetch: u64,
     /// Tokens of requests that were refused without an ask since the last one.
     pub refused: u64,
+    /// Whether this instance spends its equal share, as it got no answer before.
+    pub on_share: bool,
     /// Time within which the answer is needed.
     pub timeout: Duration,
 }
--- a/crates/gateway/src/quota/holding.rs
+++ b/crates/gateway/src/quota/holding.rs
@@ -138,9 +138,15 @@
         let oldest = self.waiting.front().map_or(now, |waiting| waiting.since);
         self.asked = Some(costs.len());
         self.ahead_at = now;
+        let on_share = self.local.is_some();
+        let prefetch = match costs.first() {
+            Some(cost) => self.expected(*cost, now),
+            None => 0,
+        };
         Ask {
-            prefetch: self.expected(costs.first().copied().unwrap_or_default(), now),
+            prefetch,
             costs,
+            on_share,
             refused: std::mem::take(&mut self.refused),
             timeout: ANSWER_TIMEOUT.saturating_sub(now.saturating_sub(oldest)),
         }
--- a/crates/gateway/src/quota/ledger.rs
+++ b/crates/gateway/src/quota/ledger.rs
@@ -7,8 +7,7 @@
 use crate::quota::account::Account;
 use crate::quota::owner::slot;
 use crate::quota::standing::Standing;
-use crate::quota::{Ask, Grant, SLOTS, TAKEOVER_TIME, View};
-use crate::tenant::Quota;
+use crate::quota::{Ask, Grant, Limit, SLOTS, TAKEOVER_TIME, View};
 
 /// Time without an update after which the process may have been suspended, while another
 /// instance became the owner.
@@ -22,6 +21,8 @@
     takeover: Duration,
     standings: [Option<Standing>; SLOTS],
     accounts: BTreeMap<id::Tenant, Account>,
+    /// Equal share of one instance.
+    share: f64,
     observed_at: Duration,
     swept_at: Duration,
 }
@@ -40,6 +41,7 @@
             takeover,
             standings: [const { None }; SLOTS],
             accounts: BTreeMap::new(),
+            share: 0.0,
             observed_at: Duration::ZERO,
             swept_at: Duration::ZERO,
         }
@@ -50,6 +52,7 @@
         self.check_suspension(now);
         self.observed_at = now;
         let fraction = view.fraction();
+        self.share = view.share();
         let takeover = self.takeover;
         let mut has_lost = false;
         for (slot, (standing, owns)) in self.standings.iter_mut().zip(view.owns).enumerate() {
@@ -77,22 +80,25 @@
         }
     }
 
-    /// Grants tokens of a tenant; returns `None` if this instance does not grant any for it.
+    /// Grants tokens to the instance `asker`; returns `None` if this instance does not grant
+    /// any of that tenant.
     pub fn grant(
         &mut self,
-        tenant: &str,
-        quota: &Quota,
+        asker: &str,
+        limit: Limit<'_>,
         ask: &Ask,
         now: Duration,
     ) -> Option<Grant> {
         self.check_suspension(now);
+        let Limit { tenant, quota } = limit;
         let (fraction, since) = granting(&self.standings, tenant)?;
         if !self.accounts.contains_key(tenant) {
             let account = Account::new(quota, fraction, since);
             self.accounts.insert(tenant.to_owned(), account);
         }
         let account = self.accounts.get_mut(tenant)?;
-        account.resize(quota, fraction, now);
+        account.record_asker(asker, ask, now);
+        account.resize(quota, fraction, self.share, now);
         Some(account.grant(ask, now))
     }
 
--- a/crates/gateway/src/quota/service.rs
+++ b/crates/gateway/src/quota/service.rs
@@ -11,9 +11,9 @@
 
 use crate::gateway::Gateway;
 use crate::id;
-use crate::quota::{Allowance, Ask, Grant, Ledger, SLOTS, Share, Verdict, View, slot};
+use crate::quota::{Allowance, Ask, Grant, Ledger, Limit, SLOTS, Share, Verdict, View, slot};
 use crate::span::millis;
-use crate::tenant::{Directory, Quota};
+use crate::tenant::Directory;
 
 /// Time after the start in which the others may not have registered yet.
 const REGISTER_TIME: Duration = Duration::from_secs(1);
@@ -88,12 +88,12 @@
     /// Grants tokens of a tenant, if this instance owns its slot and is past the takeover.
     pub(crate) fn grant(
         &self,
-        tenant: &str,
-        quota: &Quota,
+        asker: &str,
+        limit: Limit<'_>,
         ask: &Ask,
         now: Duration,
     ) -> Option<Grant> {
-        self.ledger.lock().grant(tenant, quota, ask, now)
+        self.ledger.lock().grant(asker, limit, ask, now)
     }
 
     /// Returns what this instance needs to know for its equal share.
@@ -109,8 +109,8 @@
     }
 }
 
-/// Answers the ask of a peer.
-pub(crate) fn serve(gateway: &Gateway, ask: mesh::QuotaAsk) -> mesh::QuotaGrant {
+/// Answers the ask of the peer `asker`.
+pub(crate) fn serve(gateway: &Gateway, asker: &str, ask: mesh::QuotaAsk) -> mesh::QuotaGrant {
     let environment = gateway.environment();
     let tenants = environment
         .as_ref()
@@ -121,10 +121,17 @@
         costs: ask.costs,
         prefetch: ask.prefetch,
         refused: ask.refused,
+        on_share: ask.on_share,
         timeout: Duration::ZERO,
     };
     let now = gateway.now();
-    let grant = quota.and_then(|quota| gateway.quota.grant(&ask.tenant, &quota, &wanted, now));
+    let grant = quota.as_ref().and_then(|quota| {
+        let limit = Limit {
+            tenant: &ask.tenant,
+            quota,
+        };
+        gateway.quota.grant(asker, limit, &wanted, now)
+    });
     let granting = grant.is_some();
     let grant = grant.unwrap_or_default();
     mesh::QuotaGrant {
--- a/crates/gateway/src/quota/view.rs
+++ b/crates/gateway/src/quota/view.rs
@@ -17,7 +17,16 @@
     /// Part of each quota that this instance may grant.
     #[must_use]
     pub fn fraction(&self) -> f64 {
-        let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
-        (count(self.reachable) / count(self.all.max(1))).min(1.0)
+        (count(self.reachable) * self.share()).min(1.0)
     }
+
+    /// Equal share of one instance.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        1.0 / count(self.all.max(1))
+    }
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
 }
