Quotas: a leaving owner is followed at once, and a new instance reaches owners first

Cause: each planned restart of an owner left its tenants on equal shares for the takeover time, though the owner says that it leaves and grants nothing more. An instance that has just started and has no link to an owner would refuse requests below the quota.

Change: an owner whose predecessor has reported that it leaves grants at once, from an empty bucket; peers determine the owners as soon as that report arrives.

Ruled out: a takeover without a wait for any new owner.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -299,9 +299,13 @@
 
     /// Whether this instance accepts requests of callers.
     pub(crate) fn is_ready(&self) -> bool {
+        let environment = self.serving_environment();
+        let may_serve = |environment: Arc<Environment>| {
+            self.quota.may_serve(self, environment.tenants.as_ref())
+        };
         !self.leaving.is_cancelled()
-            && self.serving_environment().is_some()
             && self.registry.is_loaded()
+            && environment.is_some_and(may_serve)
     }
 
     /// Whether this instance reads the store's feed successfully.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -414,6 +414,13 @@
         quota::owners(candidates.chain(own)).map(Option::<&_>::cloned)
     }
 
+    /// Whether the instance has reported that it is shutting down.
+    #[must_use]
+    pub fn is_leaving(&self, instance: &str) -> bool {
+        let inner = self.inner.lock();
+        inner.get(instance).is_some_and(|member| member.is_leaving)
+    }
+
     /// Number of live instances, this one included.
     #[must_use]
     pub fn live_count(&self, now: Duration) -> usize {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -270,6 +270,10 @@
     if status.ready {
         gateway.join.record_newest(status.environment);
     }
+    if status.leaving {
+        // Its quota slots have no owner until this is known.
+        gateway.update_topology();
+    }
     if gateway.is_hierarchical() && gateway.is_local_data_centre(&peer.data_centre) {
         gateway.collector.add(&peer.instance, status);
     }
--- a/crates/gateway/src/quota/admission.rs
+++ b/crates/gateway/src/quota/admission.rs
@@ -143,7 +143,7 @@
     let own = &gateway.settings.instance;
     let owner = gateway.quota.owner(limit.tenant)?;
     if owner == *own {
-        return gateway.quota.grant(own, limit, ask, gateway.now());
+        return gateway.quota.grant(gateway, own, limit, ask, gateway.now());
     }
     let link = gateway.links.get(&owner)?;
     let message = mesh::QuotaAsk {
--- a/crates/gateway/src/quota/ledger.rs
+++ b/crates/gateway/src/quota/ledger.rs
@@ -63,9 +63,14 @@
                 }
                 continue;
             }
+            let inherits = view.inherits[slot];
             let standing = standing.get_or_insert_with(|| {
-                log::info!(slot; "owner of a quota slot");
-                Standing::new(takeover, now)
+                log::info!(slot, inherited = inherits; "owner of a quota slot");
+                if inherits {
+                    Standing::inherited(takeover)
+                } else {
+                    Standing::new(takeover, now)
+                }
             });
             standing.observe(fraction, now);
         }
--- a/crates/gateway/src/quota/service.rs
+++ b/crates/gateway/src/quota/service.rs
@@ -28,6 +28,8 @@
     is_active: AtomicBool,
     /// Whether the rows of all instances were read since the start.
     has_read_members: AtomicBool,
+    /// Whether this instance has accepted requests.
+    has_served: AtomicBool,
 }
 
 impl Service {
@@ -38,6 +40,7 @@
             owners: RwLock::default(),
             is_active: AtomicBool::new(false),
             has_read_members: AtomicBool::new(false),
+            has_served: AtomicBool::new(false),
         }
     }
 
@@ -64,8 +67,14 @@
         let own = &gateway.settings.instance;
         let may_own = gateway.is_ready() && !gateway.is_cut_off();
         let owners = gateway.members.quota_owners(may_own.then_some(own), now);
+        let former = self.owners.read().clone();
+        let left = |owner: Option<id::Instance>| {
+            owner.is_some_and(|owner| gateway.members.is_leaving(&owner))
+        };
+        let is_same = former == owners;
         let view = View {
             owns: owners.each_ref().map(|owner| owner.as_ref() == Some(own)),
+            inherits: former.map(left),
             reachable: gateway.members.live_count(now),
             all: gateway.members.share_count(now),
         };
@@ -73,38 +82,69 @@
         self.allowance.lock().sweep(now);
         let others = owners.iter().flatten().filter(|owner| *owner != own);
         let others = others.cloned().collect();
-        let is_same = *self.owners.read() == owners;
         if !is_same {
             *self.owners.write() = owners;
         }
         others
     }
 
+    /// Whether an instance that has started may accept requests: if it reaches the owners, or
+    /// after the time in which it should have. Before that it would refuse what is below the
+    /// quota.
+    pub(crate) fn may_serve(&self, gateway: &Gateway, tenants: Option<&Directory>) -> bool {
+        if self.has_served.load(Ordering::Relaxed) {
+            return true;
+        }
+        let own = &gateway.settings.instance;
+        let reaches = |owner: &id::Instance| owner == own || gateway.links.get(owner).is_some();
+        let owners = self.owners.read();
+        let may_serve = !tenants.is_some_and(Directory::has_quotas)
+            || owners
+                .iter()
+                .all(|owner| owner.as_ref().is_some_and(reaches))
+            || self.is_settled(gateway, gateway.now());
+        if may_serve {
+            self.has_served.store(true, Ordering::Relaxed);
+        }
+        may_serve
+    }
+
+    // Whether the other instances have reported, or should have.
+    fn is_settled(&self, gateway: &Gateway, now: Duration) -> bool {
+        let age = now.saturating_sub(gateway.started);
+        let has_read = self.has_read_members.load(Ordering::Relaxed);
+        let has_heard = age >= REGISTER_TIME && has_read && gateway.members.all_report();
+        has_heard || !gateway.is_settling(now)
+    }
+
     /// Returns the owner of a tenant's quota.
     pub(crate) fn owner(&self, tenant: &str) -> Option<id::Instance> {
         self.owners.read()[slot(tenant)].clone()
     }
 
-    /// Grants tokens of a tenant, if this instance owns its slot and is past the takeover.
+    /// Grants tokens of a tenant, if this instance owns its slot and is past the takeover. One
+    /// that leaves grants nothing, as its successor starts at once.
     pub(crate) fn grant(
         &self,
+        gateway: &Gateway,
         asker: &str,
         limit: Limit<'_>,
         ask: &Ask,
         now: Duration,
     ) -> Option<Grant> {
+        if gateway.leaving.is_cancelled() {
+            return None;
+        }
         self.ledger.lock().grant(asker, limit, ask, now)
     }
 
     /// Returns what this instance needs to know for its equal share.
     pub(crate) fn share(&self, gateway: &Gateway, tenant: &str, now: Duration) -> Share {
         let members = &gateway.members;
-        let age = now.saturating_sub(gateway.started);
-        let has_heard = self.has_read_members.load(Ordering::Relaxed) && members.all_report();
         Share {
             position: members.share_position(&gateway.settings.instance, tenant, now),
             detection: members.detection_time(),
-            is_settled: !gateway.is_settling(now) || (age >= REGISTER_TIME && has_heard),
+            is_settled: self.is_settled(gateway, now),
         }
     }
 }
@@ -130,7 +170,7 @@
             tenant: &ask.tenant,
             quota,
         };
-        gateway.quota.grant(asker, limit, &wanted, now)
+        gateway.quota.grant(gateway, asker, limit, &wanted, now)
     });
     let granting = grant.is_some();
     let grant = grant.unwrap_or_default();
--- a/crates/gateway/src/quota/standing.rs
+++ b/crates/gateway/src/quota/standing.rs
@@ -27,6 +27,15 @@
         }
     }
 
+    /// Creates the state of a new owner whose predecessor has stopped.
+    pub(crate) fn inherited(takeover: Duration) -> Self {
+        Self {
+            takeover,
+            parts: VecDeque::new(),
+            granting_since: None,
+        }
+    }
+
     /// Records the part that the membership allows.
     pub(crate) fn observe(&mut self, fraction: f64, now: Duration) {
         while self.parts.back().is_some_and(|(part, _)| *part >= fraction) {
--- a/crates/gateway/src/quota/view.rs
+++ b/crates/gateway/src/quota/view.rs
@@ -7,6 +7,8 @@
 pub struct View {
     /// Whether this instance is the owner, by slot.
     pub owns: [bool; SLOTS],
+    /// Whether the former owner has said that it leaves, and grants nothing more, by slot.
+    pub inherits: [bool; SLOTS],
     /// Live instances, including this one.
     pub reachable: usize,
     /// Instances that quotas are divided among, including this one.
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -260,6 +260,7 @@
 fn a_suspended_owner_starts_anew() {
     let owns = View {
         owns: [true; quota::SLOTS],
+        inherits: [false; quota::SLOTS],
         reachable: 3,
         all: 3,
     };
@@ -286,6 +287,7 @@
 fn a_part_shrinks_at_once_and_grows_after_the_takeover_time() {
     let view = |reachable| View {
         owns: [true; quota::SLOTS],
+        inherits: [false; quota::SLOTS],
         reachable,
         all: 4,
     };
@@ -323,6 +325,30 @@
     assert_eq!(most(&mut ledger, at), Some(100));
 }
 
+// Guards against seconds of equal shares after each planned restart of an owner.
+#[test]
+fn an_owner_whose_predecessor_leaves_grants_at_once_from_an_empty_bucket() {
+    let view = View {
+        owns: [true; quota::SLOTS],
+        inherits: [true; quota::SLOTS],
+        reachable: 3,
+        all: 3,
+    };
+    let mut ledger = Ledger::default();
+    let now = Duration::from_secs(50);
+    ledger.observe(&view, now);
+    let ask = Ask {
+        costs: vec![9_300],
+        ..Ask::default()
+    };
+    let mut tokens = |now| {
+        let grant = ledger.grant("entry-1", limit(&SMALL), &ask, now);
+        grant.map(|grant| grant.tokens)
+    };
+    assert_eq!(tokens(now), Some(0));
+    assert_eq!(tokens(now + SECOND / 2), Some(9_300));
+}
+
 fn share(instances: usize, rank: usize) -> Share {
     Share {
         position: Position { rank, instances },
--- a/crates/gateway/tests/quota_world/mod.rs
+++ b/crates/gateway/tests/quota_world/mod.rs
@@ -429,6 +429,7 @@
         let owner = owner.copied();
         let view = View {
             owns: [owner == Some(number); quota::SLOTS],
+            inherits: [false; quota::SLOTS],
             reachable: live.len(),
             all: self.sharers(number),
         };
