A request handed over for a tenant is declined where no tenants are known

Cause: an instance whose environment lists no tenants yet accepted a request that a peer had authenticated, and a runner ran it for no tenant.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -70,6 +70,9 @@
         if !route.is_public {
             tenant = Some(authenticate(tenants, &call).map_err(reject)?);
         }
+    } else if call.tenant.is_some() {
+        // The peer has a newer environment. Here, the request would run for no tenant.
+        return Err(reject(Reason::Misdirected));
     }
     if let Some(rank) = tenant.as_ref().and_then(|tenant| tenant.rank) {
         route.rank = rank;
