The gateway holds its memory and descriptors to their bounds

Cause: `forward::accept` collected the frames of each body without a common count, and a frame keeps the whole read buffer that it arrived in. At the cap of connections new ones were closed, and the tasks of streams counted as connections.

Change: `memory::Budget` divides `memory_mb` into parts. - Bodies of requests are copied into one buffer each, counted as it grows and until the last reference is dropped. When the part is short, the incomplete body with the least progress in the last two seconds ends (408); new large bodies are refused unread (503, Retry-After). A quarter is only for bodies of up to 64 KiB. A length announced over the limit is 413 unread. The connection closes unless the body was read to its end. - Responses: buffering.rs becomes memory/responses.rs, with sizes that follow from the setting in place of 16 and 32 MB; queues of streams are counted in bytes, and no stream waits for the caller of another one. - Connections: each listener has its own part of a cap that follows from `max_files` and memory. The one that has waited longest for a head gives way, then one that sends a body, then one that has not read for 2 s. A head has headerTimeoutMs from its first byte, and idle connections idleTimeoutMs; one task checks them, in place of a timer for each connection. - The HTTP library's buffer follows maxHeaderBytes. The kernel keeps at most about 128 KiB of a connection that are not read yet. - Metrics of bytes held and of what was ended, one log line every 5 s at most.

Ruled out: the library's own header timeout, which begins with the wait for a head; a descriptor count that ignores the connections to runners, which are as many as requests in progress.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,8 +3,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
 use hyper::{Request, Response, http};
 use tokio::time;
@@ -13,21 +12,39 @@
 use crate::body::Body;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
+use crate::memory::bodies::Failure;
+use crate::memory::connections::{Connection, Phase};
 use crate::outcome::Response as RunnerResponse;
 use crate::refusal::{Reason, Refusal};
 use crate::span::millis;
 use crate::tenant::{Directory, Tenant};
 use crate::{call, relay, stream_origin};
 
+/// Delay after which a caller may retry a request that there was no memory for.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+/// Longest body that the HTTP library reads to its end after a response, in its first buffer.
+const MAX_DRAINED: u64 = 8 << 10;
+
 /// Reads one request of a caller, forwards it and returns the response.
-pub(crate) async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    connection: &Connection,
+) -> Response<Body> {
     let arrived = gateway.now();
     let (head, body) = request.into_parts();
-    let mut response = match accept(&gateway, head, body, arrived).await {
-        Ok(exchange) => forward(&gateway, Arc::new(exchange)).await,
-        Err(response) => response,
+    let is_short = body.size_hint().upper();
+    let is_short = is_short.is_some_and(|length| length <= MAX_DRAINED);
+    let (mut response, is_read) = match accept(&gateway, head, body, arrived).await {
+        Ok(exchange) => {
+            connection.begin(Phase::Busy, gateway.now());
+            (forward(&gateway, Arc::new(exchange)).await, true)
+        }
+        Err(response) => (response, false),
     };
-    if gateway.leaving.is_cancelled() {
+    // The rest of a body that was not read to its end is no request.
+    let may_remain = !is_read && !is_short;
+    if may_remain || gateway.leaving.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -82,15 +99,12 @@
         .timeout
         .map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let deadline = arrived + limit;
-    let collect = Limited::new(body, environment.limits.max_body_bytes).collect();
-    let body = match time::timeout(limit, collect).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(reject(Reason::BodyTooLong));
-        }
-        Ok(Err(_)) => return Err(reject(Reason::BadRequest)),
-        Err(_) => return Err(reject(Reason::Expired)),
-    };
+    let max_bytes = environment.limits.max_body_bytes;
+    let reading = gateway.memory.bodies.read(body, max_bytes, &*gateway.clock);
+    let body = time::timeout(limit, reading)
+        .await
+        .map_err(|_| reject(Reason::Expired))?
+        .map_err(|failure| refuse(gateway, Some(&call), &body_refusal(failure)))?;
     Ok(Exchange {
         blocks: call.blocks(),
         head,
@@ -162,10 +176,20 @@
     }
 }
 
+// The request has not run, and its connection closes.
+fn body_refusal(failure: Failure) -> Refusal {
+    match failure {
+        Failure::TooLong => Refusal::new(Reason::BodyTooLong),
+        Failure::Full => Refusal::new(Reason::NoMemory).with_retry_after(MEMORY_RETRY),
+        Failure::Slow => Refusal::new(Reason::SlowBody),
+        Failure::Broken => Refusal::new(Reason::BadRequest),
+    }
+}
+
 // A peer may offer a request that this instance cannot serve to others.
 fn for_peer(refusal: &Refusal) -> Refusal {
     match refusal.reason {
-        Reason::Unreachable | Reason::Leaving | Reason::NoEnvironment => {
+        Reason::Unreachable | Reason::Leaving | Reason::NoEnvironment | Reason::NoMemory => {
             Refusal::new(Reason::Misdirected)
         }
         _ => *refusal,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
 use crate::term::Term;
 use crate::topology::Topology;
 use crate::trial::Trials;
-use crate::{Result, buffering, fetch, id, quarantine, reach, software};
+use crate::{Result, fetch, id, memory, quarantine, reach, software};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -111,8 +111,8 @@
     pub(crate) reach: Arc<reach::Tracker>,
     /// Notified when a service is lost or regained.
     pub(crate) reach_changed: Arc<Notify>,
-    /// Memory for response bodies.
-    pub(crate) buffering: buffering::Memory,
+    /// Memory for callers and their requests.
+    pub(crate) memory: memory::Budget,
     /// Hands requests over to peers.
     pub(crate) handover: Handover,
     pub(crate) prefill: PrefillEstimator,
@@ -164,7 +164,7 @@
         let peer_connector = Arc::clone(&ports.peer_connector);
         Ok(Self {
             handover: Handover::new(&incarnation, &clock, peer_connector),
-            buffering: buffering::Memory::default(),
+            memory: memory::Budget::new(settings.memory, settings.max_files),
             reach: Arc::default(),
             reach_changed: Arc::default(),
             incarnation,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -9,11 +9,13 @@
 
 use crate::error::Code;
 use crate::gateway::{Gateway, Ports};
+use crate::memory::connections::Purpose;
 use crate::reach_check::Checker;
-use crate::server::{self, Purpose};
+
+use crate::server;
 use crate::{
-    Result, crash_check, discovery, environment_record, leader, mesh, quarantine_record, report,
-    stream_record, tcp, unlisted_check, version_record, watcher,
+    Result, crash_check, discovery, environment_record, leader, memory_watch, mesh,
+    quarantine_record, report, stream_record, tcp, unlisted_check, version_record, watcher,
 };
 
 /// Time for which requests are accepted after this instance has left the directory.
@@ -27,6 +29,11 @@
 /// their refusals can be sent.
 const ABORT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Receive buffer of an accepted connection, in bytes, which the kernel doubles. What callers
+/// send while nothing is read counts toward the memory of the machine. A body of the usual size,
+/// up to 55 KB, fits.
+const RECEIVE_BUFFER: u32 = 64 << 10;
+
 /// A running gateway.
 #[derive(Debug)]
 pub struct Instance {
@@ -41,11 +48,12 @@
     /// Fails if an address cannot be bound.
     pub fn start(mut settings: Settings, ports: Ports) -> Result<Self> {
         let listen = &mut settings.listen;
-        let callers = bind(&mut listen.callers)?;
-        let ready = bind(&mut listen.ready)?;
-        let peers = bind(&mut listen.peers)?;
-        let directory = bind(&mut listen.directory)?;
-        let metrics = bind(&mut listen.metrics)?;
+        let small = Some(RECEIVE_BUFFER);
+        let callers = bind(&mut listen.callers, small)?;
+        let ready = bind(&mut listen.ready, small)?;
+        let peers = bind(&mut listen.peers, None)?;
+        let directory = bind(&mut listen.directory, small)?;
+        let metrics = bind(&mut listen.metrics, small)?;
         let gateway = Arc::new(Gateway::new(settings, ports)?);
         let reports = report::channel();
         tokio::spawn(mesh::listen(Arc::clone(&gateway), peers, reports.clone()));
@@ -62,6 +70,7 @@
         tokio::spawn(crash_check::run(Arc::clone(&gateway)));
         tokio::spawn(stream_record::run(Arc::clone(&gateway)));
         tokio::spawn(leader::run(Arc::clone(&gateway)));
+        tokio::spawn(memory_watch::run(Arc::clone(&gateway)));
         tokio::spawn(check_reach(Arc::clone(&gateway)));
         tokio::spawn(check_unlisted(Arc::clone(&gateway)));
         let listeners = [
@@ -196,9 +205,9 @@
     }
 }
 
-fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
+fn bind(address: &mut SocketAddr, receive_buffer: Option<u32>) -> Result<TcpListener> {
     let fail = |error: std::io::Error| Code::Connect(format!("cannot listen: {error}"));
-    let listener = tcp::listen(*address).map_err(fail)?;
+    let listener = tcp::listen(*address, receive_buffer).map_err(fail)?;
     *address = listener.local_addr().map_err(fail)?;
     Ok(listener)
 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -17,6 +17,7 @@
 use crate::fetch::Versions;
 use crate::gateway::Gateway;
 use crate::links::Link;
+use crate::memory::connections::{Connection, Purpose};
 use crate::report::Reports;
 use crate::span::millis;
 use crate::{Result, adapter_request, crash_report, report, tcp};
@@ -186,12 +187,16 @@
                 continue;
             }
         };
+        let connections = &gateway.memory.connections;
+        let Some(connection) = connections.admit(Purpose::Peers, gateway.now()) else {
+            continue;
+        };
         let gateway = Arc::clone(&gateway);
         let reports = reports.clone();
         tokio::spawn(async move {
             tokio::select! {
                 () = gateway.stopped.cancelled() => {}
-                ended = serve(&gateway, stream, &reports) => {
+                ended = serve(&gateway, stream, connection, &reports) => {
                     if let Err(error) = ended {
                         log::debug!(error:% = error; "peer connection ended");
                     }
@@ -201,7 +206,13 @@
     }
 }
 
-async fn serve(gateway: &Arc<Gateway>, stream: TcpStream, reports: &Reports) -> Result<()> {
+// `connection` is counted until the peer has introduced itself.
+async fn serve(
+    gateway: &Arc<Gateway>,
+    stream: TcpStream,
+    connection: Connection,
+    reports: &Reports,
+) -> Result<()> {
     tcp::configure(&stream, PEER_TIMEOUT).map_err(|error| Code::Broken(error.to_string()))?;
     let handshake = async {
         let stream = accept_async_with_config(stream, Some(socket::config()))
@@ -214,9 +225,12 @@
         writer.send(&Message::Hello(gateway.hello())).await?;
         Ok::<_, crate::Error>((writer, reader, peer))
     };
-    let (mut writer, mut reader, peer) = time::timeout(PEER_TIMEOUT, handshake)
-        .await
-        .map_err(|_| Code::Timeout)??;
+    let handshake = time::timeout(PEER_TIMEOUT, handshake);
+    let (mut writer, mut reader, peer) = tokio::select! {
+        ended = handshake => ended.map_err(|_| Code::Timeout)??,
+        () = connection.closed() => return Err(Code::Timeout.into()),
+    };
+    drop(connection);
     if gateway.members.insert(&peer) {
         dial_member(gateway, reports, &peer);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
 use crate::Result;
 use crate::error::Code;
+use crate::memory::Budget;
 
 const SECONDS_BOUNDS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0,
@@ -29,6 +30,8 @@
     fetches: Counter<u64>,
     environments: Counter<u64>,
     latency: Histogram<f64>,
+    memory: Gauge<u64>,
+    memory_ended: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -79,6 +82,14 @@
                 "almondbank_environments_received",
                 "Environments received from other instances, by whether they were newer.",
             ),
+            memory: meter
+                .u64_gauge("almondbank_memory_held_bytes")
+                .with_description("Memory held for callers and runners, by part.")
+                .build(),
+            memory_ended: counter(
+                "almondbank_memory_ended",
+                "Connections and bodies that were evicted or refused, by kind.",
+            ),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -147,9 +158,18 @@
             .add(1, &[KeyValue::new("newer", is_newer)]);
     }
 
-    /// Encodes all metrics in the Prometheus text format.
+    /// Counts connections or bodies that were evicted or refused.
+    pub fn memory_ended(&self, kind: &'static str, count: u64) {
+        self.memory_ended.add(count, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Encodes all metrics in the Prometheus text format, with what `memory` holds now.
     #[must_use]
-    pub fn page(&self) -> String {
+    pub fn page(&self, memory: &Budget) -> String {
+        for (part, bytes) in memory.held() {
+            let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            self.memory.record(bytes, &[KeyValue::new("part", part)]);
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .inspect_err(|error| log::warn!(error:% = error; "failed to encode the metrics"))
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,6 +12,10 @@
     BadRequest,
     /// The body is longer than the environment allows.
     BodyTooLong,
+    /// The body arrived slower than others when memory was short.
+    SlowBody,
+    /// There is no memory for the body.
+    NoMemory,
     /// The route needs a key, and the request has none that the environment lists.
     Unauthorized,
     /// No route of the environment matches the request.
@@ -90,9 +94,11 @@
             Self::BadRequest => 400,
             Self::Unauthorized => 401,
             Self::NoRoute => 404,
+            Self::SlowBody => 408,
             Self::BodyTooLong => 413,
             Self::Leaving
             | Self::NoEnvironment
+            | Self::NoMemory
             | Self::NoRunner
             | Self::NoReplica
             | Self::Overloaded
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,14 +13,15 @@
 use crate::attempt::Attempt;
 use crate::body::{Body, Chunk};
 use crate::error::Code;
+use crate::memory::outlet::{MAX_PIECE, Outlet};
 use crate::outcome::{Framing, Stream};
 use crate::registry::Runner;
 use crate::span::millis;
 use crate::sse::{Scanner, Splitter};
 use crate::{Error, Result, crash_report, opening};
 
-/// Number of chunks that are queued for a slow caller.
-const QUEUE: usize = 16;
+/// Most pieces that are queued for a slow caller, whose bytes are counted besides.
+const QUEUE: usize = 64;
 /// How the relay of a stream ended.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -39,6 +40,7 @@
     let relay = Relay {
         splitter: attempt.exchange.route.resumable.then(Splitter::default),
         scanner: Scanner::default(),
+        outlet: attempt.gateway.memory.responses.outlet(),
         attempt,
         chunks,
         bytes: 0,
@@ -75,6 +77,8 @@
     splitter: Option<Splitter>,
     scanner: Scanner,
     chunks: mpsc::Sender<Result<Chunk>>,
+    /// Counts the bytes that wait for the caller.
+    outlet: Outlet,
     bytes: usize,
     /// Time of the first event of the current runner.
     begun_at: Duration,
@@ -201,13 +205,24 @@
             return Ok(true);
         }
         self.bytes += bytes.len();
-        Ok(self.chunks.send(Ok(Chunk::Data(bytes))).await.is_ok())
+        Ok(self.queue(&bytes).await)
+    }
+
+    // Returns false if the caller has disconnected.
+    async fn queue(&mut self, bytes: &[u8]) -> bool {
+        for piece in bytes.chunks(MAX_PIECE) {
+            let piece = self.outlet.hold(piece).await;
+            if self.chunks.send(Ok(Chunk::Data(piece))).await.is_err() {
+                return false;
+            }
+        }
+        true
     }
 
     async fn complete(&mut self, stream: Stream) -> End {
         let rest = self.splitter.as_mut().map(Splitter::take_rest);
         if let Some(rest) = rest.filter(|rest| !rest.is_empty())
-            && self.chunks.send(Ok(Chunk::Data(rest))).await.is_err()
+            && !self.queue(&rest).await
         {
             return End::CallerLeft;
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,53 +10,41 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use strum::Display;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::Body;
+use crate::environment::Limits;
 use crate::gateway::Gateway;
+use crate::memory::Socket;
+use crate::memory::connections::{Connection, Phase, Purpose};
+use crate::served::Served;
 use crate::{forward, tcp};
 
 /// Time without an acknowledgement of sent data after which a connection is closed.
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
-/// Maximum size of the read buffer in bytes, which limits the size of a request
-/// head.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Smallest size of the read buffer that the HTTP library accepts, in bytes. The buffer limits
+/// the size of a request head.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 /// Time for which callers may cache the directory.
 const DIRECTORY_TTL: Duration = Duration::from_millis(900);
-/// Number of file descriptors reserved for everything except accepted connections.
-const RESERVED_FILES: usize = 600;
-
-/// Purpose of a listener.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum Purpose {
-    Callers,
-    Ready,
-    Directory,
-    Metrics,
-}
 
 /// Accepts connections until the gateway stops.
 pub(crate) async fn run(gateway: Arc<Gateway>, listener: TcpListener, purpose: Purpose) {
-    let max_connections = gateway
-        .settings
-        .max_files
-        .saturating_sub(RESERVED_FILES)
-        .max(64);
+    let connections = &gateway.memory.connections;
     loop {
         let accepted = tokio::select! {
             () = gateway.stopped.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) if gateway.work.len() < max_connections => {
-                let serving = serve(Arc::clone(&gateway), stream, purpose);
-                gateway.work.spawn(serving);
-            }
-            Ok(_) => {
-                log::warn!(purpose:% = purpose, max_connections; "connection refused: too many connections");
+            Ok((stream, _)) => {
+                if let Some(connection) = connections.admit(purpose, gateway.now()) {
+                    let serving = serve(Arc::clone(&gateway), stream, connection);
+                    gateway.work.spawn(serving);
+                }
+                // A connection that gives way is closed before the next one is accepted.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!(purpose:% = purpose, error:% = error; "failed to accept a connection");
@@ -66,36 +54,50 @@
     }
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, purpose: Purpose) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, connection: Connection) {
     if let Err(error) = tcp::configure(&stream, USER_TIMEOUT) {
         log::debug!(error:% = error; "failed to configure an accepted connection");
         return;
     }
-    let idle = gateway
-        .environment()
-        .map(|environment| environment.limits.idle_timeout);
-    let idle = idle.unwrap_or(Duration::from_secs(15));
-    let shared = Arc::clone(&gateway);
-    let service = service_fn(move |request| {
-        let gateway = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(handle(gateway, request, purpose).await) }
+    let purpose = connection.purpose();
+    let began_closing = gateway.closing.is_cancelled();
+    let environment = gateway.environment();
+    let limits = environment.map_or_else(Limits::default, |environment| environment.limits);
+    let state = Arc::new(connection);
+    let shared = (Arc::clone(&gateway), Arc::clone(&state));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (gateway, state) = shared.clone();
+        async move {
+            state.begin(Phase::Body, gateway.now());
+            let response = handle(&gateway, request, &state).await;
+            let clock = Arc::clone(&gateway.clock);
+            Ok::<_, Infallible>(response.map(|body| Served::new(body, state, clock)))
+        }
     });
+    let socket = Socket::new(stream, Arc::clone(&state), Arc::clone(&gateway.clock));
+    // The timeouts are those of `Connections::expire`: this one would begin with the wait.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .header_read_timeout(None)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
-    let ended = if gateway.closing.is_cancelled() {
-        // Its request is refused, and the response closes the connection.
-        connection.await
-    } else {
-        tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = gateway.closing.cancelled() => {
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => ended,
+        () = state.closed() => {
+            if state.phase() != Phase::Busy || state.is_blocked() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+        // If it began after that, its request is refused, and the response closes the connection.
+        () = gateway.closing.cancelled() => {
+            if !began_closing {
                 connection.as_mut().graceful_shutdown();
-                connection.await
             }
+            connection.await
         }
     };
     if let Err(error) = ended {
@@ -104,16 +106,16 @@
 }
 
 async fn handle(
-    gateway: Arc<Gateway>,
+    gateway: &Arc<Gateway>,
     request: Request<Incoming>,
-    purpose: Purpose,
+    connection: &Connection,
 ) -> Response<Body> {
-    match purpose {
-        Purpose::Callers => forward::serve(gateway, request).await,
-        Purpose::Ready => ready(&gateway, request),
-        Purpose::Directory => directory(&gateway, request),
-        Purpose::Metrics => {
-            let page = gateway.metrics.page();
+    match connection.purpose() {
+        Purpose::Callers => forward::serve(Arc::clone(gateway), request, connection).await,
+        Purpose::Ready => ready(gateway, request),
+        Purpose::Directory => directory(gateway, request),
+        Purpose::Metrics | Purpose::Peers => {
+            let page = gateway.metrics.page(&gateway.memory);
             Response::new(Body::from(bytes::Bytes::from(page)))
         }
     }
--- a/crates/gateway/src/tcp.rs
+++ b/crates/gateway/src/tcp.rs
@@ -52,14 +52,19 @@
 }
 
 /// Listens on `address`, even if connections of an earlier process are in the state
-/// `TIME_WAIT`.
+/// `TIME_WAIT`. The kernel keeps at most about twice `receive_buffer` bytes of a connection that
+/// are not read yet.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, receive_buffer: Option<u32>) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    // Connections inherit it; set later, it would not bound the window.
+    if let Some(bytes) = receive_buffer {
+        socket.set_recv_buffer_size(bytes)?;
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -224,7 +224,7 @@
     ) -> Outcome {
         let gateway = self.gateway;
         let runner = delivery.chosen.runner.id().clone();
-        let bytes = match gateway.buffering.read(body).await {
+        let bytes = match gateway.memory.responses.read(body).await {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::info!(
