--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use parking_lot::Mutex;
 use prometheus::{Registry, TextEncoder};
 
 use crate::error::Code;
+use crate::memory::Budget;
 use crate::{Result, id};
 
 const SECONDS_BOUNDS: [f64; 12] = [
@@ -42,6 +43,8 @@
     /// Tenants with series of their own.
     tenants: Arc<Mutex<BTreeSet<id::Tenant>>>,
     latency: Histogram<f64>,
+    memory: Gauge<u64>,
+    memory_ended: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -105,6 +108,14 @@
                 "Asks to other instances for units of quotas, by whether they were answered.",
             ),
             tenants: Arc::default(),
+            memory: meter
+                .u64_gauge("almondbank_memory_held_bytes")
+                .with_description("Memory held for callers and runners, by part.")
+                .build(),
+            memory_ended: counter(
+                "almondbank_memory_ended",
+                "Connections and bodies that were evicted or refused, by kind.",
+            ),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -213,9 +224,18 @@
         KeyValue::new("tenant", name.to_owned())
     }
 
-    /// Encodes all metrics in the Prometheus text format.
+    /// Counts connections or bodies that were evicted or refused.
+    pub fn memory_ended(&self, kind: &'static str, count: u64) {
+        self.memory_ended.add(count, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Encodes all metrics in the Prometheus text format, with what `memory` holds now.
     #[must_use]
-    pub fn page(&self) -> String {
+    pub fn page(&self, memory: &Budget) -> String {
+        for (part, bytes) in memory.held() {
+            let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            self.memory.record(bytes, &[KeyValue::new("part", part)]);
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .inspect_err(|error| log::warn!(error:% = error; "failed to encode the metrics"))
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,6 +12,10 @@
     BadRequest,
     /// The body is longer than the environment allows.
     BodyTooLong,
+    /// The body arrived slower than others when memory was short.
+    SlowBody,
+    /// There is no memory for the body.
+    NoMemory,
     /// The route needs a key, and the request has none that the environment lists.
     Unauthorized,
     /// The tenant has used up its quota.
@@ -98,10 +102,12 @@
             Self::BadRequest => 400,
             Self::Unauthorized => 401,
             Self::NoRoute => 404,
+            Self::SlowBody => 408,
             Self::BodyTooLong => 413,
             Self::QuotaExceeded => 429,
             Self::Leaving
             | Self::NoEnvironment
+            | Self::NoMemory
             | Self::NoRunner
             | Self::NoReplica
             | Self::Overloaded
