The cost of prefill follows the pace of each runner

Runners of one service differ by more than a factor of two in their pace, but the prefill time of a token was learned by model only, so a slow runner with a short queue was preferred to a fast one that would have answered sooner.

The estimator keeps an average by model, for the planner and for runners without an observation, and one by model and runner. The first observation of a runner has a weight of a half: with 66 instances and 90 runners an instance sees few requests to each. scoring::Candidate carries the token time; scoring::Request no longer does.

Ruled out: one factor by runner for all models, as its adapters and models do not slow down alike; sharing the pace with peers, as messages with a new field are refused by instances of the last release.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //!     is_local: true,
 //!     work: Work { pending: 3, pending_tokens: 30_000, running: 0, tokens: 30_000 },
 //!     slots: 64,
+//!     token_time: Duration::from_micros(25),
 //!     cached_tokens: 0,
 //!     holds_adapter: true,
 //!     is_ejected: false,
@@ -33,7 +34,6 @@
 //!     prompt_tokens: 9_000,
 //!     tokens: 9_100,
 //!     capacity: 250_000,
-//!     token_time: Duration::from_micros(25),
 //!     event_gap: Duration::from_millis(500),
 //!     service_time: Duration::from_secs(1),
 //! };
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -1,4 +1,5 @@
-//! Estimates the prefill time of each model from observed times to first token.
+//! Estimates the prefill time of each model, and of each runner with it, from observed times
+//! to first token.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,22 +19,51 @@
 const MIN_TOKENS: u64 = 1000;
 /// Weight of the newest observation in the exponential moving average.
 const SMOOTHING: f64 = 0.2;
+/// Weight of the first observation of a runner. With many instances each of them sees few
+/// requests to one runner, and runners of one service differ by more than a factor of two.
+const FIRST_WEIGHT: f64 = 0.5;
 
-/// Estimated prefill time of one token, by model.
+/// Estimated prefill time of one token, by model and runner.
 #[derive(Debug, Default)]
 pub struct Estimator {
-    models: Mutex<BTreeMap<id::Model, Duration>>,
+    models: Mutex<BTreeMap<id::Model, State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// Average over all runners.
+    average: Duration,
+    runners: BTreeMap<id::Runner, Duration>,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            average: INITIAL_TOKEN_TIME,
+            runners: BTreeMap::new(),
+        }
+    }
 }
 
 impl Estimator {
-    /// Returns the prefill time of one token for `model`.
+    /// Returns the prefill time of one token for `model`, averaged over the runners.
     #[must_use]
     pub fn token_time(&self, model: &str) -> Duration {
-        self.models
-            .lock()
+        let models = self.models.lock();
+        models
             .get(model)
-            .copied()
-            .unwrap_or(INITIAL_TOKEN_TIME)
+            .map_or(INITIAL_TOKEN_TIME, |state| state.average)
+    }
+
+    /// Returns the prefill time of one token for `model` on `runner`, or the average if
+    /// none was observed there.
+    #[must_use]
+    pub fn runner_token_time(&self, model: &str, runner: &str) -> Duration {
+        let models = self.models.lock();
+        models.get(model).map_or(INITIAL_TOKEN_TIME, |state| {
+            let time = state.runners.get(runner);
+            time.copied().unwrap_or(state.average)
+        })
     }
 
     /// Returns the prefill time of one token for each of `models`.
@@ -46,9 +76,9 @@
             .collect()
     }
 
-    /// Updates the estimate with a first token that arrived after `elapsed`, when
-    /// `prefill_tokens` needed prefill at the time of the request.
-    pub fn observe(&self, model: &str, prefill_tokens: u64, elapsed: Duration) {
+    /// Updates the estimates with a first token that arrived from `runner` after `elapsed`,
+    /// when `prefill_tokens` needed prefill at the time of the request.
+    pub fn observe(&self, model: &str, runner: &str, prefill_tokens: u64, elapsed: Duration) {
         if prefill_tokens < MIN_TOKENS {
             return;
         }
@@ -57,11 +87,29 @@
             .div_f64(tokens(prefill_tokens))
             .clamp(MIN_TOKEN_TIME, MAX_TOKEN_TIME);
         let mut models = self.models.lock();
-        let estimate = models.entry(model.to_owned()).or_insert(INITIAL_TOKEN_TIME);
-        *estimate = estimate.mul_f64(1.0 - SMOOTHING) + observed.mul_f64(SMOOTHING);
+        let state = models.entry(model.to_owned()).or_default();
+        if let Some(time) = state.runners.get_mut(runner) {
+            *time = blend(*time, observed, SMOOTHING);
+        } else {
+            let time = blend(state.average, observed, FIRST_WEIGHT);
+            state.runners.insert(runner.to_owned(), time);
+        }
+        state.average = blend(state.average, observed, SMOOTHING);
+    }
+
+    /// Removes the runners for which `is_known` returns false.
+    pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
+        let mut models = self.models.lock();
+        for state in models.values_mut() {
+            state.runners.retain(|runner, _| is_known(runner));
+        }
     }
 }
 
+fn blend(average: Duration, observed: Duration, weight: f64) -> Duration {
+    average.mul_f64(1.0 - weight) + observed.mul_f64(weight)
+}
+
 fn tokens(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/gateway/src/scoring.rs
+++ b/crates/gateway/src/scoring.rs
@@ -41,6 +41,8 @@
     pub work: Work,
     /// Number of requests that it runs concurrently.
     pub slots: u64,
+    /// Prefill time of one token there.
+    pub token_time: Duration,
     /// Prompt tokens in its prefix cache.
     pub cached_tokens: u64,
     /// Whether the adapter of the request is loaded.
@@ -66,8 +68,6 @@
     pub tokens: u64,
     /// KV cache capacity of one runner in tokens; 0 if it has no such limit.
     pub capacity: u64,
-    /// Prefill time of one token.
-    pub token_time: Duration,
     /// Shortest accepted gap between two events of the streams of the service; 0 if
     /// none is set.
     pub event_gap: Duration,
@@ -82,7 +82,9 @@
         .prompt_tokens
         .saturating_sub(candidate.cached_tokens);
     let prefill_tokens = candidate.work.pending_tokens + own_tokens;
-    let mut time = request.token_time.saturating_mul(saturate(prefill_tokens));
+    let mut time = candidate
+        .token_time
+        .saturating_mul(saturate(prefill_tokens));
     time += RUNNING_REQUEST_COST * saturate(candidate.work.running);
     time += slot_wait(candidate, request);
     if request.capacity > 0 && candidate.work.tokens + request.tokens > request.capacity {
@@ -112,7 +114,7 @@
     if own_tokens == 0 || request.event_gap.is_zero() {
         return Duration::ZERO;
     }
-    let time = |tokens| request.token_time.saturating_mul(saturate(tokens));
+    let time = |tokens| candidate.token_time.saturating_mul(saturate(tokens));
     let gap = candidate
         .recent_gap
         .max(time(candidate.work.pending_tokens))
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -218,6 +218,11 @@
                 is_local: runner.registration.data_centre == gateway.settings.data_centre,
                 work: totals.get(id).copied().unwrap_or_default(),
                 slots: runner.registration.slots,
+                token_time: target
+                    .filter(|_| exchange.engine().is_some())
+                    .map_or(Duration::ZERO, |target| {
+                        gateway.prefill.runner_token_time(&target.model, id)
+                    }),
                 cached_tokens: gateway.prefixes.cached_tokens(id, &exchange.blocks),
                 holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
                 is_ejected: gateway.health.is_ejected(id, now),
@@ -255,7 +260,6 @@
 }
 
 fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
-    let model = exchange.call.target.as_ref().map(|target| &target.model);
     let is_engine = exchange.engine().is_some();
     Request {
         prompt_tokens: if is_engine {
@@ -267,9 +271,6 @@
         capacity: exchange
             .engine()
             .map_or(0, |engine: &Engine| engine.kv_capacity),
-        token_time: model
-            .filter(|_| is_engine)
-            .map_or(Duration::ZERO, |model| gateway.prefill.token_time(model)),
         event_gap: exchange
             .environment
             .event_gap(&exchange.service)
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -300,8 +300,10 @@
         delivery.guard.start_decoding();
         if let Some(target) = &self.exchange.call.target {
             let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
+            let runner = delivery.chosen.runner.id();
             let tokens = delivery.chosen.queued_tokens;
-            self.gateway.prefill.observe(&target.model, tokens, elapsed);
+            let prefill = &self.gateway.prefill;
+            prefill.observe(&target.model, runner, tokens, elapsed);
         }
     }
 
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -203,6 +203,7 @@
         let is_known = |runner: &str| gateway.registry.get(runner).is_some();
         gateway.pool.sweep(is_known);
         gateway.prefixes.retain(is_known);
+        gateway.prefill.retain(is_known);
         gateway.health.retain(is_known);
         gateway.event_gaps.retain(is_known);
         gateway.notices.retain(|runner| {
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -185,6 +185,7 @@
             is_local: true,
             work: engine.work(),
             slots: 64,
+            token_time: TOKEN_TIME,
             cached_tokens: 0,
             holds_adapter: true,
             is_ejected: false,
@@ -254,7 +255,6 @@
             prompt_tokens: tokens,
             tokens,
             capacity: 0,
-            token_time: TOKEN_TIME,
             event_gap: load.accepted_pause,
             service_time: Duration::ZERO,
         };
--- a/crates/gateway/tests/scoring.rs
+++ b/crates/gateway/tests/scoring.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use almondbank_gateway::in_flight::Work;
+use almondbank_gateway::prefill::Estimator;
 use almondbank_gateway::scoring::{self, Candidate, Request};
 
 fn candidate(runner: &str) -> Candidate {
@@ -11,6 +12,7 @@
         is_local: true,
         work: Work::default(),
         slots: 64,
+        token_time: Duration::from_micros(25),
         cached_tokens: 0,
         holds_adapter: true,
         is_ejected: false,
@@ -25,7 +27,6 @@
         prompt_tokens: 9_200,
         tokens: 9_300,
         capacity: 250_000,
-        token_time: Duration::from_micros(25),
         event_gap: Duration::from_millis(500),
         service_time: Duration::from_millis(800),
     }
@@ -102,7 +103,6 @@
         prompt_tokens: 0,
         tokens: 0,
         capacity: 0,
-        token_time: Duration::ZERO,
         event_gap: Duration::ZERO,
         service_time: Duration::from_millis(60),
     };
@@ -131,3 +131,38 @@
     assert!(predicted >= wait, "{predicted} s");
     assert!(predicted <= wait + 0.1, "{predicted} s");
 }
+
+// Load: runners of one service whose paces differ by more than a factor of two. Guards
+// against a choice by tokens alone, which takes the slower runner for its shorter queue.
+#[test]
+fn prefill_counts_at_the_pace_of_each_runner() {
+    let mut slow = candidate("slow");
+    slow.token_time = Duration::from_micros(45);
+    let mut fast = candidate("fast");
+    fast.token_time = Duration::from_micros(20);
+    fast.work.pending_tokens = 4_000;
+    let candidates = [slow, fast];
+    assert_eq!(chosen(&candidates, &long_file()), "fast");
+}
+
+// Load: 66 instances and 90 runners, so that an instance sees few requests to each of them.
+// Guards against paces that need many observations, and against one runner's that count for
+// another.
+#[test]
+fn the_pace_of_a_runner_is_learned_from_few_requests() {
+    let paces = Estimator::default();
+    for _ in 0..3 {
+        paces.observe("m", "slow", 9_200, Duration::from_millis(12 + 414));
+        paces.observe("m", "fast", 9_200, Duration::from_millis(12 + 184));
+    }
+    let slow = paces.runner_token_time("m", "slow");
+    let fast = paces.runner_token_time("m", "fast");
+    assert!(slow >= fast.mul_f64(1.5), "{slow:?} {fast:?}");
+    let other = paces.runner_token_time("m", "other");
+    assert_eq!(other, paces.token_time("m"));
+    assert!(fast < other && other < slow, "{other:?}");
+    assert_eq!(
+        paces.runner_token_time("other", "slow"),
+        paces.token_time("other")
+    );
+}
