The prefix index evicts as the runner does

The index kept up to 1,024 blocks for each runner whatever their size, and forgot the older half when it was full. At 40 tokens per ms a runner turns its memory of 250,000 tokens over in 6 s, so most of what the index counted as cached was gone, and requests waited at runners that prefilled their prefix again.

The index knows the tokens of each block and the order of their uses. At a lookup it evicts the least recently used ones until those that no request occupies fit in the KV capacity less what the requests in flight take up. Blocks used within the mean service time count as occupied; of one prompt the last is evicted first. Blocks of an earlier run of a runner are removed when the registry shows a new one.

Test replaced: a_full_index_keeps_the_newer_half counted 550 of 1,100 blocks. A full index now evicts one block at a time, so it keeps 1,024, and the test names which.

Ruled out: the size of a block in mesh::Kept. A size is learned from the first request with the block; 1,000 tokens are assumed until then.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -124,6 +124,7 @@
 mod outage;
 mod outcome;
 mod pool;
+mod prefix_cache;
 mod quarantine_record;
 mod reach_check;
 mod read_pacer;
--- a/crates/gateway/src/prefix.rs
+++ b/crates/gateway/src/prefix.rs
@@ -9,9 +9,9 @@
 
 use crate::call::Block;
 use crate::id;
+use crate::prefix_cache::Cache;
+pub use crate::prefix_cache::Memory;
 
-/// Maximum number of indexed blocks for one runner.
-const MAX_BLOCKS: usize = 1024;
 /// Maximum number of new blocks in one report to the peers.
 const MAX_UNREPORTED: usize = 256;
 
@@ -23,7 +23,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    runners: BTreeMap<id::Runner, BTreeMap<id::Prefix, Duration>>,
+    runners: BTreeMap<id::Runner, Cache>,
     unreported: Vec<mesh::Kept>,
 }
 
@@ -32,24 +32,38 @@
     #[must_use]
     pub fn cached_tokens(&self, runner: &str, blocks: &[Block]) -> u64 {
         let inner = self.inner.lock();
-        let Some(cached) = inner.runners.get(runner) else {
+        let cache = inner.runners.get(runner);
+        cache.map_or(0, |cache| cache.cached_tokens(blocks))
+    }
+
+    /// Evicts what no longer fits in the runner's memory, and returns the number of tokens
+    /// in the longest prefix of the prompt that is left.
+    #[must_use]
+    pub fn look_up(&self, runner: &str, blocks: &[Block], memory: &Memory, now: Duration) -> u64 {
+        let mut inner = self.inner.lock();
+        let Some(cache) = inner.runners.get_mut(runner) else {
             return 0;
         };
-        blocks
-            .iter()
-            .take_while(|block| cached.contains_key(&block.hash))
-            .map(|block| block.tokens)
-            .sum()
+        cache.set_sizes(blocks);
+        cache.evict(memory, now);
+        cache.cached_tokens(blocks)
     }
 
     /// Records that a prompt was sent to the runner. The last block is specific to
     /// the request and is not reported to the peers.
     pub fn record(&self, runner: &str, blocks: &[Block], now: Duration) {
+        if blocks.is_empty() {
+            return;
+        }
         let mut inner = self.inner.lock();
-        let cached = inner.runners.entry(runner.to_owned()).or_default();
-        let mut unreported = Vec::new();
-        for (at, block) in blocks.iter().enumerate() {
-            let is_new = cached.insert(block.hash, now).is_none();
+        let Inner {
+            runners,
+            unreported,
+        } = &mut *inner;
+        let cache = runners.entry(runner.to_owned()).or_default();
+        // From the last to the first, as a block is of no use without those before it.
+        for (at, block) in blocks.iter().enumerate().rev() {
+            let is_new = cache.touch(block.hash, Some(block.tokens), now);
             if is_new && at + 1 < blocks.len() {
                 unreported.push(mesh::Kept {
                     runner: runner.to_owned(),
@@ -57,30 +71,28 @@
                 });
             }
         }
-        if cached.len() > MAX_BLOCKS {
-            drop_oldest_half(cached);
-        }
-        inner.unreported.extend(unreported);
-        let excess = inner.unreported.len().saturating_sub(MAX_UNREPORTED);
-        inner.unreported.drain(..excess);
+        let excess = unreported.len().saturating_sub(MAX_UNREPORTED);
+        unreported.drain(..excess);
     }
 
     /// Records blocks that peers have reported.
     pub fn merge(&self, blocks: Vec<mesh::Kept>, now: Duration) {
         let mut inner = self.inner.lock();
         for block in blocks {
-            let cached = inner.runners.entry(block.runner).or_default();
-            cached.insert(block.chain, now);
-            if cached.len() > MAX_BLOCKS {
-                drop_oldest_half(cached);
-            }
+            let cache = inner.runners.entry(block.runner).or_default();
+            cache.touch(block.chain, None, now);
         }
     }
 
-    /// Removes the runners for which `is_known` returns false.
-    pub fn retain(&self, is_known: impl Fn(&str) -> bool) {
+    /// Removes the blocks of runs that have ended. `born_ms` returns the start of a
+    /// runner's present run, or `None` if the runner is not known.
+    pub fn retain(&self, born_ms: impl Fn(&str) -> Option<u64>) {
         let mut inner = self.inner.lock();
-        inner.runners.retain(|runner, _| is_known(runner));
+        inner.runners.retain(|runner, cache| {
+            let present = born_ms(runner);
+            let known = std::mem::replace(&mut cache.born_ms, present);
+            present.is_some() && (known.is_none() || known == present)
+        });
     }
 
     /// Removes the blocks of one runner, for example after it has restarted.
@@ -94,11 +106,3 @@
         std::mem::take(&mut self.inner.lock().unreported)
     }
 }
-
-fn drop_oldest_half(cached: &mut BTreeMap<id::Prefix, Duration>) {
-    let mut blocks: Vec<_> = cached.iter().map(|(block, used)| (*used, *block)).collect();
-    blocks.sort_unstable();
-    for (_, block) in &blocks[..blocks.len() / 2] {
-        cached.remove(block);
-    }
-}
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,6 +7,7 @@
 use crate::call::Target;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
+use crate::prefix::Memory;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::scoring::{self, Candidate, Request};
@@ -213,17 +214,24 @@
         .map(|runner| {
             let id = runner.id();
             let target = exchange.call.target.as_ref();
+            let work = totals.get(id).copied().unwrap_or_default();
+            let memory = Memory {
+                capacity: request.capacity,
+                in_use: work.tokens,
+                hold: request.service_time,
+            };
+            let prefixes = &gateway.prefixes;
             Candidate {
                 runner: id.clone(),
                 is_local: runner.registration.data_centre == gateway.settings.data_centre,
-                work: totals.get(id).copied().unwrap_or_default(),
+                work,
                 slots: runner.registration.slots,
                 token_time: target
                     .filter(|_| exchange.engine().is_some())
                     .map_or(Duration::ZERO, |target| {
                         gateway.prefill.runner_token_time(&target.model, id)
                     }),
-                cached_tokens: gateway.prefixes.cached_tokens(id, &exchange.blocks),
+                cached_tokens: prefixes.look_up(id, &exchange.blocks, &memory, now),
                 holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
                 is_ejected: gateway.health.is_ejected(id, now),
                 failure_rate: gateway.health.failure_rate(id),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -202,14 +202,15 @@
         }
         let is_known = |runner: &str| gateway.registry.get(runner).is_some();
         gateway.pool.sweep(is_known);
-        gateway.prefixes.retain(is_known);
         gateway.prefill.retain(is_known);
         gateway.health.retain(is_known);
         gateway.event_gaps.retain(is_known);
-        gateway.notices.retain(|runner| {
+        let born_ms = |runner: &str| {
             let runner = gateway.registry.get(runner)?;
             Some(runner.registration.born_ms)
-        });
+        };
+        gateway.prefixes.retain(born_ms);
+        gateway.notices.retain(born_ms);
         gateway.quarantine.expire(gateway.now());
         gateway.registry.readmit(gateway.now());
     }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -36,12 +36,12 @@
 // Guards against a full index that forgets everything: all blocks of one prompt have the
 // same age.
 #[test]
-fn a_full_index_keeps_the_newer_half() {
+fn a_full_index_keeps_the_first_blocks_of_a_prompt() {
     let prefixes = Index::default();
     let blocks: Vec<_> = (0..1_100).map(block).collect();
     prefixes.record("r", &blocks, Duration::from_secs(1));
     let kept = (0..1_100).filter(|hash| prefixes.cached_tokens("r", &[block(*hash)]) > 0);
-    assert_eq!(kept.count(), 550);
+    assert!(kept.eq(0..1_024));
 }
 
 #[test]
