A runner in trouble is not chosen for its cache

An ejected, failing or full runner could still win on a long cached prefix: the saving of 6,300 tokens, 140 to 165 ms, exceeds the cost of a moderate failure rate or of a few requests beyond the slots.

The cost of a candidate is a cost::Cost with its terms by name, whose sum decides. The cached prefix of a runner in trouble (ejected, failure rate of 0.3 or more, no free slot, not enough memory) does not count while another candidate is not in trouble. The predicted time to the first token, which decides on refusals, still includes it.

Ruled out: not counting it when all runners are full. Under overload the least loaded runner would prefill the shared prefix again for each request.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod buffering;
 pub mod call;
 pub mod connector;
+pub mod cost;
 pub mod crash;
 pub mod demand;
 pub mod demand_rate;
--- a/crates/gateway/src/scoring.rs
+++ b/crates/gateway/src/scoring.rs
@@ -1,12 +1,13 @@
 //! Chooses the runner for a request.
 //!
-//! The runner with the lowest cost is chosen. The cost is the predicted time to
-//! first token, which depends on the cached prefix and on the prefill that is
-//! pending for other requests, plus penalties for failures, for distance and for
-//! stalls of running streams.
+//! The runner with the lowest [`Cost`] is chosen: the predicted time to first token, which
+//! depends on the cached prefix, on the runner's own pace and on the prefill that is pending
+//! for other requests, plus penalties for failures, for distance and for stalls of running
+//! streams.
 
 use std::time::Duration;
 
+use crate::cost::Cost;
 use crate::id;
 use crate::in_flight::Work;
 
@@ -29,6 +30,8 @@
 const STALL_END: f64 = 0.8;
 /// Cost of the stalls for each running request, at their maximum.
 const MAX_STALL_COST: Duration = Duration::from_millis(40);
+/// Failure rate from which a runner's cached prefix does not count.
+const MAX_FAILURE_RATE: f64 = 0.3;
 
 /// One runner that could serve the request.
 #[derive(Clone, Debug)]
@@ -75,25 +78,90 @@
     pub service_time: Duration,
 }
 
+impl Candidate {
+    // Whether it is chosen, if at all, in spite of its state and not for its cache.
+    fn is_in_trouble(&self, request: &Request) -> bool {
+        self.is_ejected
+            || self.failure_rate >= MAX_FAILURE_RATE
+            || self.work.requests() >= self.slots.max(1)
+            || self.lacks_memory(request)
+    }
+
+    fn lacks_memory(&self, request: &Request) -> bool {
+        request.capacity > 0 && self.work.tokens + request.tokens > request.capacity
+    }
+
+    fn prefill_time(&self, tokens: u64) -> Duration {
+        self.token_time.saturating_mul(saturate(tokens))
+    }
+}
+
+/// What the candidates for one request have in common.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    /// Highest preference.
+    preferred: u64,
+    /// Whether cached prefixes of runners in trouble do not count.
+    is_strict: bool,
+}
+
+impl Scale {
+    /// Compares the candidates for `request`.
+    #[must_use]
+    pub fn new(candidates: &[Candidate], request: &Request) -> Self {
+        let preferences = candidates.iter().map(|candidate| candidate.preference);
+        Self {
+            preferred: preferences.max().unwrap_or_default(),
+            is_strict: !candidates
+                .iter()
+                .all(|candidate| candidate.is_in_trouble(request)),
+        }
+    }
+
+    /// Cost of one of the candidates.
+    #[must_use]
+    pub fn cost(&self, candidate: &Candidate, request: &Request) -> Cost {
+        let is_credited = !self.is_strict || !candidate.is_in_trouble(request);
+        let cached_tokens = if is_credited {
+            candidate.cached_tokens
+        } else {
+            0
+        };
+        let mut cost = first_token_cost(candidate, request, cached_tokens);
+        cost.stalls = stall_cost_with(candidate, request, cached_tokens);
+        cost.failures = FAILURE_COST.mul_f64(candidate.failure_rate);
+        if !candidate.is_local {
+            cost.distance = CROSS_DATA_CENTRE_COST;
+        }
+        if candidate.preference != self.preferred {
+            cost.affinity = AFFINITY_COST;
+        }
+        cost
+    }
+}
+
 /// Predicted time to first token on `candidate`.
 #[must_use]
 pub fn predict_first_token(candidate: &Candidate, request: &Request) -> Duration {
-    let own_tokens = request
-        .prompt_tokens
-        .saturating_sub(candidate.cached_tokens);
-    let prefill_tokens = candidate.work.pending_tokens + own_tokens;
-    let mut time = candidate
-        .token_time
-        .saturating_mul(saturate(prefill_tokens));
-    time += RUNNING_REQUEST_COST * saturate(candidate.work.running);
-    time += slot_wait(candidate, request);
-    if request.capacity > 0 && candidate.work.tokens + request.tokens > request.capacity {
-        time += MEMORY_FULL_COST;
+    first_token_cost(candidate, request, candidate.cached_tokens).first_token()
+}
+
+fn first_token_cost(candidate: &Candidate, request: &Request, cached_tokens: u64) -> Cost {
+    let own_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
+    let mut cost = Cost {
+        queue: candidate.prefill_time(candidate.work.pending_tokens),
+        prefill: candidate.prefill_time(own_tokens),
+        running: RUNNING_REQUEST_COST * saturate(candidate.work.running),
+        slot: slot_wait(candidate, request),
+        ..Cost::default()
+    };
+    if candidate.lacks_memory(request) {
+        cost.memory = MEMORY_FULL_COST;
     }
     if !candidate.holds_adapter {
-        time += ADAPTER_LOAD_COST;
+        cost.adapter = ADAPTER_LOAD_COST;
     }
-    time
+    cost
 }
 
 // Time until the requests ahead in the queue of a runner without a free slot have
@@ -108,17 +176,18 @@
 /// prefill in chunks between their tokens, so a long prompt slows them down.
 #[must_use]
 pub fn stall_cost(candidate: &Candidate, request: &Request) -> Duration {
-    let own_tokens = request
-        .prompt_tokens
-        .saturating_sub(candidate.cached_tokens);
+    stall_cost_with(candidate, request, candidate.cached_tokens)
+}
+
+fn stall_cost_with(candidate: &Candidate, request: &Request, cached_tokens: u64) -> Duration {
+    let own_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
     if own_tokens == 0 || request.event_gap.is_zero() {
         return Duration::ZERO;
     }
-    let time = |tokens| candidate.token_time.saturating_mul(saturate(tokens));
     let gap = candidate
         .recent_gap
-        .max(time(candidate.work.pending_tokens))
-        + time(own_tokens);
+        .max(candidate.prefill_time(candidate.work.pending_tokens))
+        + candidate.prefill_time(own_tokens);
     let share = gap.div_duration_f64(request.event_gap);
     let stall = ((share - STALL_START) / (STALL_END - STALL_START)).clamp(0.0, 1.0);
     MAX_STALL_COST.mul_f64(stall) * saturate(candidate.work.running)
@@ -128,25 +197,11 @@
 /// ejected.
 #[must_use]
 pub fn choose<'a>(candidates: &'a [Candidate], request: &Request) -> Option<&'a Candidate> {
-    let preferred = candidates
-        .iter()
-        .map(|candidate| candidate.preference)
-        .max()
-        .unwrap_or_default();
-    let cost = |candidate: &Candidate| {
-        let mut cost = predict_first_token(candidate, request) + stall_cost(candidate, request);
-        cost += FAILURE_COST.mul_f64(candidate.failure_rate);
-        if !candidate.is_local {
-            cost += CROSS_DATA_CENTRE_COST;
-        }
-        if candidate.preference != preferred {
-            cost += AFFINITY_COST;
-        }
-        cost
-    };
-    candidates
-        .iter()
-        .min_by_key(|candidate| (candidate.is_ejected, cost(candidate)))
+    let scale = Scale::new(candidates, request);
+    candidates.iter().min_by_key(|candidate| {
+        let cost = scale.cost(candidate, request);
+        (candidate.is_ejected, cost.total())
+    })
 }
 
 fn saturate(number: u64) -> u32 {
--- a/crates/gateway/tests/scoring.rs
+++ b/crates/gateway/tests/scoring.rs
@@ -166,3 +166,64 @@
         paces.token_time("other")
     );
 }
+
+// Load: runners that still have a shared prefix cached, but are ejected, fail or have no slot or
+// memory left. Guards against requests that are sent there for the cache.
+#[test]
+fn a_runner_in_trouble_is_not_chosen_for_its_cache() {
+    let mut cached = candidate("keeps");
+    cached.cached_tokens = 9_000;
+    let request = long_file();
+    let other = candidate("other");
+    assert_eq!(chosen(&[other.clone(), cached.clone()], &request), "keeps");
+
+    let mut ejected = cached.clone();
+    ejected.is_ejected = true;
+    let mut failing = cached.clone();
+    failing.failure_rate = 0.3;
+    let mut full = cached.clone();
+    full.work.running = full.slots;
+    let mut without_memory = cached.clone();
+    without_memory.work.tokens = 249_000;
+    for runner in [ejected, failing, full, without_memory] {
+        let mut busy = other.clone();
+        busy.work.pending_tokens = 8_000;
+        let candidates = [runner, busy];
+        assert_eq!(chosen(&candidates, &request), "other", "{candidates:?}");
+    }
+}
+
+// Load: overload, in which all runners are full. Guards against choices that prefill the shared
+// prefix again at each of them.
+#[test]
+fn cached_prefixes_count_while_all_runners_are_full() {
+    let mut cached = candidate("keeps");
+    cached.cached_tokens = 6_300;
+    cached.work.running = 70;
+    let mut other = candidate("other");
+    other.work.running = 70;
+    assert_eq!(chosen(&[other, cached], &long_file()), "keeps");
+}
+
+// Guards against terms that are counted twice, or missing, in what decides.
+#[test]
+fn the_terms_of_a_cost_add_up() {
+    let mut remote = candidate("remote");
+    remote.is_local = false;
+    remote.holds_adapter = false;
+    remote.cached_tokens = 5_200;
+    remote.work.pending_tokens = 2_000;
+    remote.work.running = 10;
+    let request = long_file();
+    let candidates = [remote.clone(), candidate("other")];
+    let cost = scoring::Scale::new(&candidates, &request).cost(&remote, &request);
+    assert_eq!(cost.queue, Duration::from_millis(50));
+    assert_eq!(cost.prefill, Duration::from_millis(100));
+    assert_eq!(cost.running, Duration::from_millis(3));
+    assert_eq!(cost.adapter, Duration::from_millis(12));
+    assert_eq!(cost.distance, Duration::from_millis(2));
+    assert_eq!(cost.first_token(), Duration::from_millis(165));
+    let first_token = scoring::predict_first_token(&remote, &request);
+    assert_eq!(cost.first_token(), first_token);
+    assert_eq!(cost.total(), first_token + cost.stalls + cost.distance);
+}
