A choice counts the cached tokens that it evicts

A request that takes up more than a runner's free memory evicts cached parts there. One that others still use is then prefilled again, which the choice did not weigh.

The index returns, with the cached tokens, how many tokens the request would evict there that are expected to be used again; a candidate's cost includes their prefill. A block that only one request has used counts as nothing; another one by the time between its last two uses divided by the time since. At most 16 blocks are looked at, without allocation.

Ruled out: weights by rank or tenant of the last users. The index would have to hold them for each block, and peers do not report them.

--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -19,6 +19,9 @@
     pub adapter: Duration,
     /// Stalls of the streams that run there.
     pub stalls: Duration,
+    /// Prefill of the cached tokens that the request evicts there, as far as these are
+    /// expected to be used again.
+    pub eviction: Duration,
     /// Expected cost of a failure.
     pub failures: Duration,
     /// Distance to another data centre.
@@ -38,6 +41,6 @@
     #[must_use]
     pub fn total(&self) -> Duration {
         let penalties = self.failures + self.distance + self.affinity;
-        self.first_token() + self.stalls + penalties
+        self.first_token() + self.stalls + self.eviction + penalties
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //!     slots: 64,
 //!     token_time: Duration::from_micros(25),
 //!     cached_tokens: 0,
+//!     expected_loss: 0,
 //!     holds_adapter: true,
 //!     is_ejected: false,
 //!     failure_rate: 0.0,
--- a/crates/gateway/src/prefix.rs
+++ b/crates/gateway/src/prefix.rs
@@ -27,6 +27,16 @@
     unreported: Vec<mesh::Kept>,
 }
 
+/// What a runner is expected to have cached for a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Share {
+    /// Tokens in the longest cached prefix of the prompt.
+    pub cached_tokens: u64,
+    /// Cached tokens that the request would evict although they are expected to be used
+    /// again.
+    pub expected_loss: u64,
+}
+
 impl Index {
     /// Returns the number of tokens in the longest cached prefix of the prompt.
     #[must_use]
@@ -36,17 +46,29 @@
         cache.map_or(0, |cache| cache.cached_tokens(blocks))
     }
 
-    /// Evicts what no longer fits in the runner's memory, and returns the number of tokens
-    /// in the longest prefix of the prompt that is left.
+    /// Evicts what no longer fits in the runner's memory, and returns what is left there for
+    /// a request that takes up `tokens` in all.
     #[must_use]
-    pub fn look_up(&self, runner: &str, blocks: &[Block], memory: &Memory, now: Duration) -> u64 {
+    pub fn look_up(
+        &self,
+        runner: &str,
+        blocks: &[Block],
+        tokens: u64,
+        memory: &Memory,
+        now: Duration,
+    ) -> Share {
         let mut inner = self.inner.lock();
         let Some(cache) = inner.runners.get_mut(runner) else {
-            return 0;
+            return Share::default();
         };
         cache.set_sizes(blocks);
         cache.evict(memory, now);
-        cache.cached_tokens(blocks)
+        let cached_tokens = cache.cached_tokens(blocks);
+        let new = tokens.saturating_sub(cached_tokens);
+        Share {
+            cached_tokens,
+            expected_loss: cache.expected_loss(blocks, new, memory, now),
+        }
     }
 
     /// Records that a prompt was sent to the runner. The last block is specific to
--- a/crates/gateway/src/prefix_cache.rs
+++ b/crates/gateway/src/prefix_cache.rs
@@ -11,6 +11,8 @@
 /// Assumed size of a block that only peers have reported: messages between instances do not
 /// contain it. It is replaced when a request with the block arrives here.
 const UNKNOWN_TOKENS: u64 = 1000;
+/// Maximum number of blocks whose eviction by one request is weighed.
+const MAX_WEIGHED: usize = 16;
 
 /// Memory of a runner at the time of a lookup.
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +61,22 @@
     number: u64,
     used: Duration,
     tokens: u64,
+    /// Time between the last two uses, if there was more than one.
+    gap: Option<Duration>,
+}
+
+impl State {
+    // Tokens that are expected to be used again. A block that only one request has used is
+    // expected not to be; one that has been idle for longer than the time between its uses
+    // is less likely to be.
+    fn expected_tokens(&self, now: Duration) -> u64 {
+        let Some(gap) = self.gap else {
+            return 0;
+        };
+        let idle = now.saturating_sub(self.used).max(gap).as_millis().max(1);
+        let expected = u128::from(self.tokens) * gap.as_millis() / idle;
+        u64::try_from(expected).unwrap_or(self.tokens)
+    }
 }
 
 impl Cache {
@@ -75,11 +93,13 @@
     /// is not known.
     pub(crate) fn touch(&mut self, hash: id::Prefix, tokens: Option<u64>, now: Duration) -> bool {
         let known = self.remove(hash);
+        let gap = known.map(|state| now.saturating_sub(state.used));
         let size = known.map_or(UNKNOWN_TOKENS, |state| state.tokens);
         let state = State {
             number: self.next,
             used: now,
             tokens: tokens.unwrap_or(size),
+            gap,
         };
         self.next += 1;
         self.order.insert(state.number, hash);
@@ -109,6 +129,31 @@
         while self.idle_tokens > memory.left() && self.evict_oldest() {}
     }
 
+    /// Returns how many tokens that are expected to be used again would be evicted for a
+    /// request that takes up `tokens` beyond the cached part of its prompt.
+    pub(crate) fn expected_loss(
+        &self,
+        blocks: &[Block],
+        tokens: u64,
+        memory: &Memory,
+        now: Duration,
+    ) -> u64 {
+        let free = memory.left().saturating_sub(self.idle_tokens);
+        let mut missing = tokens.saturating_sub(free);
+        let mut loss = 0;
+        for (_, hash) in self.order.range(..self.first_held).take(MAX_WEIGHED) {
+            if missing == 0 {
+                break;
+            }
+            let is_own = blocks.iter().any(|block| block.hash == *hash);
+            if let Some(state) = self.blocks.get(hash).filter(|_| !is_own) {
+                loss += state.expected_tokens(now);
+                missing = missing.saturating_sub(state.tokens);
+            }
+        }
+        loss
+    }
+
     // Counts the blocks that were last used before `until` as idle.
     fn release(&mut self, until: Duration) {
         while let Some((number, hash)) = self.order.range(self.first_held..).next() {
--- a/crates/gateway/src/scoring.rs
+++ b/crates/gateway/src/scoring.rs
@@ -2,8 +2,8 @@
 //!
 //! The runner with the lowest [`Cost`] is chosen: the predicted time to first token, which
 //! depends on the cached prefix, on the runner's own pace and on the prefill that is pending
-//! for other requests, plus penalties for failures, for distance and for stalls of running
-//! streams.
+//! for other requests, plus penalties for failures, for distance, for stalls of running
+//! streams and for cached prefixes that give way.
 
 use std::time::Duration;
 
@@ -48,6 +48,9 @@
     pub token_time: Duration,
     /// Prompt tokens in its prefix cache.
     pub cached_tokens: u64,
+    /// Cached tokens of other prompts that the request would evict there although they are
+    /// expected to be used again.
+    pub expected_loss: u64,
     /// Whether the adapter of the request is loaded.
     pub holds_adapter: bool,
     /// Whether it is ejected after consecutive failures.
@@ -129,6 +132,7 @@
         };
         let mut cost = first_token_cost(candidate, request, cached_tokens);
         cost.stalls = stall_cost_with(candidate, request, cached_tokens);
+        cost.eviction = candidate.prefill_time(candidate.expected_loss);
         cost.failures = FAILURE_COST.mul_f64(candidate.failure_rate);
         if !candidate.is_local {
             cost.distance = CROSS_DATA_CENTRE_COST;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,6 +7,7 @@
 use crate::call::Target;
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
+use crate::in_flight::Work;
 use crate::prefix::Memory;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
@@ -212,32 +213,8 @@
     let candidates: Vec<_> = runners
         .iter()
         .map(|runner| {
-            let id = runner.id();
-            let target = exchange.call.target.as_ref();
-            let work = totals.get(id).copied().unwrap_or_default();
-            let memory = Memory {
-                capacity: request.capacity,
-                in_use: work.tokens,
-                hold: request.service_time,
-            };
-            let prefixes = &gateway.prefixes;
-            Candidate {
-                runner: id.clone(),
-                is_local: runner.registration.data_centre == gateway.settings.data_centre,
-                work,
-                slots: runner.registration.slots,
-                token_time: target
-                    .filter(|_| exchange.engine().is_some())
-                    .map_or(Duration::ZERO, |target| {
-                        gateway.prefill.runner_token_time(&target.model, id)
-                    }),
-                cached_tokens: prefixes.look_up(id, &exchange.blocks, &memory, now),
-                holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
-                is_ejected: gateway.health.is_ejected(id, now),
-                failure_rate: gateway.health.failure_rate(id),
-                recent_gap: gateway.event_gaps.recent(id, now),
-                preference: preference(exchange, id),
-            }
+            let work = totals.get(runner.id()).copied().unwrap_or_default();
+            candidate(gateway, exchange, &request, runner, work, now)
         })
         .collect();
     let Some(best) = scoring::choose(&candidates, &request) else {
@@ -267,6 +244,42 @@
     }
 }
 
+fn candidate(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    request: &Request,
+    runner: &Runner,
+    work: Work,
+    now: Duration,
+) -> Candidate {
+    let id = runner.id();
+    let target = exchange.call.target.as_ref();
+    let engine_target = target.filter(|_| exchange.engine().is_some());
+    let memory = Memory {
+        capacity: request.capacity,
+        in_use: work.tokens,
+        hold: request.service_time,
+    };
+    let prefixes = &gateway.prefixes;
+    let share = prefixes.look_up(id, &exchange.blocks, request.tokens, &memory, now);
+    Candidate {
+        runner: id.clone(),
+        is_local: runner.registration.data_centre == gateway.settings.data_centre,
+        work,
+        slots: runner.registration.slots,
+        token_time: engine_target.map_or(Duration::ZERO, |target| {
+            gateway.prefill.runner_token_time(&target.model, id)
+        }),
+        cached_tokens: share.cached_tokens,
+        expected_loss: share.expected_loss,
+        holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
+        is_ejected: gateway.health.is_ejected(id, now),
+        failure_rate: gateway.health.failure_rate(id),
+        recent_gap: gateway.event_gaps.recent(id, now),
+        preference: preference(exchange, id),
+    }
+}
+
 fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
     let is_engine = exchange.engine().is_some();
     Request {
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -187,6 +187,7 @@
             slots: 64,
             token_time: TOKEN_TIME,
             cached_tokens: 0,
+            expected_loss: 0,
             holds_adapter: true,
             is_ejected: false,
             failure_rate: 0.0,
--- a/crates/gateway/tests/scoring.rs
+++ b/crates/gateway/tests/scoring.rs
@@ -14,6 +14,7 @@
         slots: 64,
         token_time: Duration::from_micros(25),
         cached_tokens: 0,
+        expected_loss: 0,
         holds_adapter: true,
         is_ejected: false,
         failure_rate: 0.0,
@@ -227,3 +228,18 @@
     assert_eq!(cost.first_token(), first_token);
     assert_eq!(cost.total(), first_token + cost.stalls + cost.distance);
 }
+
+// Load: runners whose memory is full of cached prefixes, of which some are still in use by
+// others. Guards against requests that evict these although a runner with as short a queue has
+// only parts of ended prompts to evict.
+#[test]
+fn a_prefix_that_others_use_is_not_evicted_without_need() {
+    let mut used = candidate("used");
+    used.expected_loss = 6_300;
+    let mut queued = candidate("queued");
+    queued.work.pending_tokens = 5_000;
+    let candidates = [used.clone(), queued.clone()];
+    assert_eq!(chosen(&candidates, &long_file()), "queued");
+    queued.work.pending_tokens = 8_000;
+    assert_eq!(chosen(&[used, queued], &long_file()), "used");
+}
