Metrics and log fields for predicted prefixes

An operator could not see whether prompts were cached where they were sent, nor whether the index is right.

almondbank_prompt_tokens counts the prompt tokens of streams by whether they were expected to be cached, almondbank_prefix_predictions the outcomes: right or wrong by whether the first token came nearer to the time with the saving or to that without it, unclear if the saving is below 30 ms or the delay exceeds it by half. "request sent" has cached_tokens and saved_ms, "runner responded" prefix_prediction. The first token of a wrong prediction is not used for the pace of the runner.

Ruled out: asking the runner for its cache hits, which is a call for each.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::transfer::Transfer;
 use crate::trial::{self, Trial};
 use crate::wait::Wait;
-use crate::{adapter_request, crash_report, id};
+use crate::{adapter_request, crash_report, id, prediction};
 
 /// Interval at which a waiting request checks the registry without a change
 /// notification.
@@ -110,7 +110,11 @@
         match result {
             Err(refusal) => match self.failed.take() {
                 Some((runner, failure)) => {
-                    self.transfer().log_response(&runner, failure.status());
+                    self.transfer().log_response(
+                        &runner,
+                        failure.status(),
+                        prediction::Outcome::None,
+                    );
                     Ok(failure)
                 }
                 None => Err(refusal),
@@ -425,7 +429,9 @@
             registration = chosen.runner.registration.revision,
             to_read = chosen.prefill_tokens,
             queued_tokens = chosen.queued_tokens,
-            predicted_ms = millis(chosen.predicted),
+            cached_tokens = chosen.prediction.cached_tokens,
+            saved_ms = millis(chosen.prediction.saving),
+            predicted_ms = millis(chosen.prediction.first_token),
             left_ms = millis(self.exchange.remaining(self.gateway.now())),
             send = self.sends;
             "request sent"
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod notices;
 pub mod order;
 pub mod planner;
+pub mod prediction;
 pub mod prefill;
 pub mod prefix;
 pub mod protocol;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 
 use crate::Result;
 use crate::error::Code;
+use crate::prediction::{Outcome, Prediction};
 
 const SECONDS_BOUNDS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0,
@@ -28,6 +29,8 @@
     links: Counter<u64>,
     fetches: Counter<u64>,
     environments: Counter<u64>,
+    prompt_tokens: Counter<u64>,
+    predictions: Counter<u64>,
     latency: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
@@ -79,6 +82,14 @@
                 "almondbank_environments_received",
                 "Environments received from other instances, by whether they were newer.",
             ),
+            prompt_tokens: counter(
+                "almondbank_prompt_tokens",
+                "Prompt tokens of streams that have begun, by whether they were expected to be cached.",
+            ),
+            predictions: counter(
+                "almondbank_prefix_predictions",
+                "Streams with a prefix that was expected to be cached, by whether it was.",
+            ),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -147,6 +158,20 @@
             .add(1, &[KeyValue::new("newer", is_newer)]);
     }
 
+    /// Counts the prompt of a stream that has begun, and the outcome of the prediction of what
+    /// was cached of it.
+    pub fn prefix(&self, prefill_tokens: u64, prediction: &Prediction, outcome: Outcome) {
+        let cached = |is_cached: bool| [KeyValue::new("cached", is_cached)];
+        self.prompt_tokens.add(prefill_tokens, &cached(false));
+        self.prompt_tokens
+            .add(prediction.cached_tokens, &cached(true));
+        if outcome != Outcome::None {
+            let outcome: &'static str = outcome.into();
+            self.predictions
+                .add(1, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/gateway/src/scoring.rs
+++ b/crates/gateway/src/scoring.rs
@@ -94,7 +94,9 @@
         request.capacity > 0 && self.work.tokens + request.tokens > request.capacity
     }
 
-    fn prefill_time(&self, tokens: u64) -> Duration {
+    /// Time in which the runner prefills `tokens`.
+    #[must_use]
+    pub fn prefill_time(&self, tokens: u64) -> Duration {
         self.token_time.saturating_mul(saturate(tokens))
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -8,6 +8,7 @@
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::in_flight::Work;
+use crate::prediction::Prediction;
 use crate::prefix::Memory;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
@@ -36,8 +37,7 @@
     /// Tokens that need prefill before its first token, including those of other
     /// requests.
     pub(crate) queued_tokens: u64,
-    /// Predicted time to first token.
-    pub(crate) predicted: Duration,
+    pub(crate) prediction: Prediction,
     pub(crate) holds_adapter: bool,
 }
 
@@ -225,7 +225,13 @@
         let retry_after = predicted.saturating_sub(exchange.route.objective);
         return Selection::Refuse(Refusal::new(Reason::Overloaded).with_retry_after(retry_after));
     }
-    let prefill_tokens = request.prompt_tokens.saturating_sub(best.cached_tokens);
+    let cached_tokens = best.cached_tokens.min(request.prompt_tokens);
+    let prediction = Prediction {
+        cached_tokens,
+        saving: best.prefill_time(cached_tokens),
+        first_token: predicted,
+    };
+    let prefill_tokens = request.prompt_tokens - cached_tokens;
     let queued_tokens = best.work.pending_tokens + prefill_tokens;
     let holds_adapter = best.holds_adapter;
     let chosen = runners
@@ -235,7 +241,7 @@
             runner,
             prefill_tokens,
             queued_tokens,
-            predicted,
+            prediction,
             holds_adapter,
         });
     match chosen {
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -21,7 +21,7 @@
 use crate::route::Kind;
 use crate::selection::Chosen;
 use crate::span::millis;
-use crate::{crash_report, notice_log, notices, reach};
+use crate::{crash_report, notice_log, notices, prediction, reach};
 
 /// Time reserved for returning the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
@@ -245,7 +245,7 @@
         if status.is_server_error() {
             return Outcome::Failed(response);
         }
-        self.log_response(&runner, status.as_u16());
+        self.log_response(&runner, status.as_u16(), prediction::Outcome::None);
         gateway.health.record_success(&runner);
         crash_report::report_response(gateway, self.exchange, &answering, sent_at);
         Outcome::Final(response)
@@ -272,8 +272,8 @@
         let elapsed = || gateway.now().saturating_sub(sent_at);
         match opening.read(&mut body, elapsed).await {
             Ok(first) => {
-                self.record_first_event(&mut delivery);
-                self.log_response(&runner, head.status.as_u16());
+                let prediction = self.record_first_event(&mut delivery);
+                self.log_response(&runner, head.status.as_u16(), prediction);
                 gateway.health.record_success(&runner);
                 Outcome::Final(Response::Stream(Box::new(Stream {
                     delivery,
@@ -296,15 +296,24 @@
         }
     }
 
-    fn record_first_event(&self, delivery: &mut Delivery) {
+    // Returns whether the prompt was cached as predicted. If not, the first token says nothing
+    // about the pace of the runner.
+    fn record_first_event(&self, delivery: &mut Delivery) -> prediction::Outcome {
         delivery.guard.start_decoding();
-        if let Some(target) = &self.exchange.call.target {
-            let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
-            let runner = delivery.chosen.runner.id();
-            let tokens = delivery.chosen.queued_tokens;
+        let Some(target) = &self.exchange.call.target else {
+            return prediction::Outcome::None;
+        };
+        let chosen = &delivery.chosen;
+        let elapsed = self.gateway.now().saturating_sub(delivery.sent_at);
+        let prediction = chosen.prediction.check(elapsed);
+        if prediction != prediction::Outcome::Wrong {
             let prefill = &self.gateway.prefill;
-            prefill.observe(&target.model, runner, tokens, elapsed);
+            let runner = chosen.runner.id();
+            prefill.observe(&target.model, runner, chosen.queued_tokens, elapsed);
         }
+        let metrics = &self.gateway.metrics;
+        metrics.prefix(chosen.prefill_tokens, &chosen.prediction, prediction);
+        prediction
     }
 
     fn report_crash(&self, runner: &Runner, sent_at: Duration) {
@@ -312,13 +321,14 @@
     }
 
     /// Counts and logs a response that is returned to the caller.
-    pub(crate) fn log_response(&self, runner: &str, status: u16) {
+    pub(crate) fn log_response(&self, runner: &str, status: u16, prediction: prediction::Outcome) {
         let latency = self.gateway.now().saturating_sub(self.exchange.arrived);
         let route = &self.exchange.route.name;
         self.gateway.metrics.response(route, latency);
         log::info!(
             request = self.exchange.call.attempt.as_str(), route = route.as_str(), runner,
-            status, latency_ms = millis(latency), sends = self.number;
+            status, latency_ms = millis(latency), sends = self.number,
+            prefix_prediction = <&str>::from(prediction);
             "runner responded"
         );
     }
