Instance::explain: why a request would be sent to a runner

To see why a request went where it did, an operator had to work the terms out from logs.

For a call it returns the candidates in the order of choice with each term of their cost, the runners left out with the reason, and the runner chosen or the refusal. It runs the code that decides: select is split into eligible, candidates and choose, which both use, and the filters of eligible note their reasons. scoring::rank sorts by the key that choose takes the lowest of.

Ruled out: a second implementation over the metrics and reports.

--- a/crates/gateway/src/cost.rs
+++ b/crates/gateway/src/cost.rs
@@ -37,6 +37,25 @@
         self.queue + self.prefill + self.running + self.slot + self.memory + self.adapter
     }
 
+    /// Names of all terms and their values in milliseconds.
+    #[must_use]
+    pub fn terms_ms(&self) -> [(&'static str, f64); 11] {
+        let terms = [
+            ("queue", self.queue),
+            ("prefill", self.prefill),
+            ("running", self.running),
+            ("slot", self.slot),
+            ("memory", self.memory),
+            ("adapter", self.adapter),
+            ("stalls", self.stalls),
+            ("eviction", self.eviction),
+            ("failures", self.failures),
+            ("distance", self.distance),
+            ("affinity", self.affinity),
+        ];
+        terms.map(|(name, time)| (name, time.as_secs_f64() * 1e3))
+    }
+
     /// Sum of all terms.
     #[must_use]
     pub fn total(&self) -> Duration {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -7,9 +7,12 @@
 use almondbank_wire::gateway::Settings;
 use tokio::net::TcpListener;
 
+use crate::call::Call;
 use crate::error::Code;
+use crate::explanation::{self, Explanation};
 use crate::gateway::{Gateway, Ports};
 use crate::reach_check::Checker;
+use crate::refusal::Refusal;
 use crate::server::{self, Purpose};
 use crate::{
     Result, crash_check, discovery, environment_record, leader, mesh, quarantine_record, report,
@@ -123,6 +126,15 @@
         self.gateway.term().is_some()
     }
 
+    /// Explains to which runner `call` would be sent at present, without sending it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there is no environment, route or service for it.
+    pub fn explain(&self, call: Call) -> std::result::Result<Explanation, Refusal> {
+        explanation::explain(&self.gateway, call)
+    }
+
     /// Shuts the gateway down: leaves the directory, notifies the peers,
     /// releases the lease, accepts requests while callers may still have its
     /// address cached, and returns when all requests have ended or the grace
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod demand_rate;
 pub mod environment;
 pub mod event_gap;
+pub mod explanation;
 pub mod feed;
 pub mod fetch;
 pub mod fingerprint;
--- a/crates/gateway/src/scoring.rs
+++ b/crates/gateway/src/scoring.rs
@@ -123,6 +123,12 @@
         }
     }
 
+    // Order in which the candidates are chosen.
+    fn key(&self, candidate: &Candidate, request: &Request) -> (bool, Duration) {
+        let cost = self.cost(candidate, request);
+        (candidate.is_ejected, cost.total())
+    }
+
     /// Cost of one of the candidates.
     #[must_use]
     pub fn cost(&self, candidate: &Candidate, request: &Request) -> Cost {
@@ -204,10 +210,19 @@
 #[must_use]
 pub fn choose<'a>(candidates: &'a [Candidate], request: &Request) -> Option<&'a Candidate> {
     let scale = Scale::new(candidates, request);
-    candidates.iter().min_by_key(|candidate| {
-        let cost = scale.cost(candidate, request);
-        (candidate.is_ejected, cost.total())
-    })
+    candidates
+        .iter()
+        .min_by_key(|candidate| scale.key(candidate, request))
+}
+
+/// Returns all candidates with their costs, the one that [`choose`] returns first.
+#[must_use]
+pub fn rank<'a>(candidates: &'a [Candidate], request: &Request) -> Vec<(&'a Candidate, Cost)> {
+    let scale = Scale::new(candidates, request);
+    let cost = |candidate: &'a Candidate| (candidate, scale.cost(candidate, request));
+    let mut ranked: Vec<_> = candidates.iter().map(cost).collect();
+    ranked.sort_by_key(|(candidate, _)| scale.key(candidate, request));
+    ranked
 }
 
 fn saturate(number: u64) -> u32 {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,6 +6,7 @@
 
 use crate::call::Target;
 use crate::exchange::Exchange;
+use crate::explanation::{Exclusion, Omission};
 use crate::gateway::Gateway;
 use crate::in_flight::Work;
 use crate::prediction::Prediction;
@@ -63,48 +64,94 @@
 }
 
 impl Excluded {
-    fn allows(&self, runner: &Runner) -> bool {
+    fn reason(&self, runner: &Runner) -> Option<Exclusion> {
         let software = self.software.as_deref();
-        let is_same = software.is_none_or(|software| software == runner.software());
-        is_same && !self.tried.contains(runner.id())
+        if self.tried.contains(runner.id()) {
+            Some(Exclusion::Tried)
+        } else if software.is_some_and(|software| software != runner.software()) {
+            Some(Exclusion::Software)
+        } else {
+            None
+        }
     }
 }
 
+// Removes the runners for which there is a reason.
+fn omit(
+    runners: &mut Vec<Runner>,
+    omissions: &mut Vec<Omission>,
+    reason: impl Fn(&Runner) -> Option<Exclusion>,
+) {
+    runners.retain(|runner| {
+        let Some(reason) = reason(runner) else {
+            return true;
+        };
+        omissions.push(Omission {
+            runner: runner.id().clone(),
+            reason,
+        });
+        false
+    });
+}
+
 /// Selects a runner that is not excluded.
 pub(crate) fn select(gateway: &Gateway, exchange: &Exchange, excluded: &Excluded) -> Selection {
     let now = gateway.now();
+    match eligible(gateway, exchange, excluded, now, &mut Vec::new()) {
+        Ok(runners) => {
+            let request = request(gateway, exchange);
+            let candidates = candidates(gateway, exchange, &request, &runners, now);
+            choose(exchange, runners, &request, &candidates, now)
+        }
+        Err(selection) => selection,
+    }
+}
+
+/// Returns the runners that could serve the request now, of which there is at least one, or what
+/// to do without one. Adds the others that hold the model to `omissions`.
+pub(crate) fn eligible(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    excluded: &Excluded,
+    now: Duration,
+    omissions: &mut Vec<Omission>,
+) -> Result<Vec<Runner>, Selection> {
     if exchange.remaining(now) <= MIN_REMAINING {
-        return Selection::Refuse(Refusal::new(Reason::Expired));
+        return Err(Selection::Refuse(Refusal::new(Reason::Expired)));
     }
     if let Some(refusal) = crash_report::refusal(gateway, exchange, now) {
-        return Selection::Refuse(refusal);
+        return Err(Selection::Refuse(refusal));
     }
     if gateway.reach.has_lost(&exchange.service) {
         let refusal = Refusal::new(Reason::Unreachable);
-        return Selection::Refuse(refusal.with_retry_after(NO_RUNNER_RETRY_AFTER));
+        return Err(Selection::Refuse(
+            refusal.with_retry_after(NO_RUNNER_RETRY_AFTER),
+        ));
     }
     let registry = &gateway.registry;
     if !registry.has_usable(&exchange.service, now) {
         let refusal = Refusal::new(Reason::NoRunner).with_retry_after(NO_RUNNER_RETRY_AFTER);
         if registry.has_leaving(&exchange.service) {
-            return Selection::Refuse(refusal);
+            return Err(Selection::Refuse(refusal));
         }
-        return Selection::Wait(refusal);
+        return Err(Selection::Wait(refusal));
     }
     if let Some(software) = &excluded.software {
         let usable = registry.usable(&exchange.service, now);
         if !usable.iter().any(|runner| runner.software() == software) {
-            return Selection::Refuse(Refusal::new(Reason::NoSoftware));
+            return Err(Selection::Refuse(Refusal::new(Reason::NoSoftware)));
         }
     }
     let mut runners = match exchange.engine().zip(exchange.call.target.as_ref()) {
         Some((engine, target)) => {
             let Some(model) = engine.models.get(&target.model) else {
-                return Selection::Refuse(Refusal::new(Reason::NoReplica));
+                return Err(Selection::Refuse(Refusal::new(Reason::NoReplica)));
             };
             let (mut runners, has_copy) = registry.replicas(&exchange.service, &target.model, now);
-            runners.retain(|runner| {
-                excluded.allows(runner) && !gateway.health.is_ejected(runner.id(), now)
+            omit(&mut runners, omissions, |runner| {
+                let is_ejected = gateway.health.is_ejected(runner.id(), now);
+                let ejected = is_ejected.then_some(Exclusion::Ejected);
+                excluded.reason(runner).or(ejected)
             });
             if runners.is_empty() {
                 let load_time = if has_copy {
@@ -112,35 +159,42 @@
                 } else {
                     model.store_load
                 };
-                return wait_for_replica(exchange, load_time + LOAD_SLACK, now);
+                return Err(wait_for_replica(exchange, load_time + LOAD_SLACK, now));
             }
             runners
         }
         None => registry.usable(&exchange.service, now),
     };
-    runners.retain(|runner| excluded.allows(runner));
+    omit(&mut runners, omissions, |runner| excluded.reason(runner));
     if runners.is_empty() {
-        return Selection::Refuse(
+        return Err(Selection::Refuse(
             Refusal::new(Reason::Overloaded).with_retry_after(BUSY_RETRY_AFTER),
-        );
+        ));
     }
     if let Some(target) = &exchange.call.target {
-        runners.retain(|runner| {
-            runner.holds_adapter(target) || !excluded.without_adapter.contains(runner.id())
+        omit(&mut runners, omissions, |runner| {
+            let could_not_load = excluded.without_adapter.contains(runner.id());
+            let lacks_adapter = could_not_load && !runner.holds_adapter(target);
+            lacks_adapter.then_some(Exclusion::NoAdapter)
         });
     }
     if runners.is_empty() {
-        return Selection::Wait(Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER));
+        return Err(Selection::Wait(
+            Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER),
+        ));
     }
     let wait = |runner: &Runner| gateway.notice_wait(runner, now);
     let next_turn = runners.iter().map(wait).min().unwrap_or_default();
     if !next_turn.is_zero() {
         let closed = |runner: &Runner| gateway.notices.closed_for(runner.id(), now);
         let closed_for = runners.iter().map(closed).min().unwrap_or_default();
-        return wait_for_turn(exchange, next_turn, closed_for, now);
+        omit(&mut runners, omissions, |_| Some(Exclusion::Limit));
+        return Err(wait_for_turn(exchange, next_turn, closed_for, now));
     }
-    runners.retain(|runner| wait(runner).is_zero());
-    choose(gateway, exchange, runners, now)
+    omit(&mut runners, omissions, |runner| {
+        (!wait(runner).is_zero()).then_some(Exclusion::Limit)
+    });
+    Ok(runners)
 }
 
 /// Whether replicas of the requested model are registered and none of them is in reach. Peers
@@ -202,25 +256,34 @@
     Selection::Wait(refusal)
 }
 
-fn choose(
+/// Returns the candidates for the request, one for each of `runners`.
+pub(crate) fn candidates(
     gateway: &Gateway,
+    exchange: &Exchange,
+    request: &Request,
+    runners: &[Runner],
+    now: Duration,
+) -> Vec<Candidate> {
+    let totals = gateway.in_flight.totals(now);
+    let candidates = runners.iter().map(|runner| {
+        let work = totals.get(runner.id()).copied().unwrap_or_default();
+        candidate(gateway, exchange, request, runner, work, now)
+    });
+    candidates.collect()
+}
+
+/// Chooses one of the candidates, which belong to `runners`.
+pub(crate) fn choose(
     exchange: &Exchange,
     runners: Vec<Runner>,
+    request: &Request,
+    candidates: &[Candidate],
     now: Duration,
 ) -> Selection {
-    let request = request(gateway, exchange);
-    let totals = gateway.in_flight.totals(now);
-    let candidates: Vec<_> = runners
-        .iter()
-        .map(|runner| {
-            let work = totals.get(runner.id()).copied().unwrap_or_default();
-            candidate(gateway, exchange, &request, runner, work, now)
-        })
-        .collect();
-    let Some(best) = scoring::choose(&candidates, &request) else {
+    let Some(best) = scoring::choose(candidates, request) else {
         return Selection::Refuse(Refusal::new(Reason::NoRunner));
     };
-    let predicted = scoring::predict_first_token(best, &request);
+    let predicted = scoring::predict_first_token(best, request);
     if exchange.engine().is_some() && predicted > exchange.remaining(now) {
         let retry_after = predicted.saturating_sub(exchange.route.objective);
         return Selection::Refuse(Refusal::new(Reason::Overloaded).with_retry_after(retry_after));
@@ -286,7 +349,8 @@
     }
 }
 
-fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
+/// Returns what the cost of a runner depends on beside the runner.
+pub(crate) fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
     let is_engine = exchange.engine().is_some();
     Request {
         prompt_tokens: if is_engine {
--- a/crates/gateway/tests/scoring.rs
+++ b/crates/gateway/tests/scoring.rs
@@ -206,6 +206,30 @@
     assert_eq!(chosen(&[other, cached], &long_file()), "keeps");
 }
 
+// Guards against an explanation that names another runner than the choice, or other costs.
+#[test]
+fn candidates_are_ranked_as_they_are_chosen() {
+    let request = long_file();
+    let mut candidates: Vec<_> = ["ejected", "queued", "cached", "remote"]
+        .map(candidate)
+        .into();
+    candidates[0].is_ejected = true;
+    candidates[1].work.pending_tokens = 9_000;
+    candidates[2].cached_tokens = 6_300;
+    candidates[3].is_local = false;
+    let ranked = scoring::rank(&candidates, &request);
+    let order: Vec<_> = ranked
+        .iter()
+        .map(|(other, _)| other.runner.as_str())
+        .collect();
+    assert_eq!(order, ["cached", "remote", "queued", "ejected"]);
+    assert_eq!(chosen(&candidates, &request), "cached");
+    for (_, cost) in ranked {
+        let sum: f64 = cost.terms_ms().iter().map(|(_, ms)| ms).sum();
+        assert!((sum - cost.total().as_secs_f64() * 1e3).abs() < 1e-6);
+    }
+}
+
 // Guards against terms that are counted twice, or missing, in what decides.
 #[test]
 fn the_terms_of_a_cost_add_up() {
