A prediction counts as right only where the first token shows it

A first token that came much earlier than predicted was counted as right, although the wait for other requests may have been overestimated by more than the saving.

It is right if it came before the whole prompt could have been prefilled, or near the predicted time; otherwise an early one is unclear. Prediction has the prefill time of the whole prompt.

--- a/crates/gateway/src/prediction.rs
+++ b/crates/gateway/src/prediction.rs
@@ -14,7 +14,9 @@
     pub cached_tokens: u64,
     /// Time that they save.
     pub saving: Duration,
-    /// Time to first token with this saving.
+    /// Prefill of the whole prompt without the saving.
+    pub uncached: Duration,
+    /// Time to first token with this saving, including the wait for other requests.
     pub first_token: Duration,
 }
 
@@ -24,12 +26,11 @@
 pub enum Outcome {
     /// Nothing was expected to be cached.
     None,
-    /// The first token came nearer to the time with the saving than to that without it.
+    /// The first token came sooner than without the saving, or nearer to the time with it.
     Right,
     /// It came nearer to the time without the saving.
     Wrong,
-    /// The saving is too small to show, or the first token came so late that it has another
-    /// cause.
+    /// The saving is too small to show, or the wait for other requests was not as predicted.
     Unclear,
 }
 
@@ -40,10 +41,16 @@
         if self.cached_tokens == 0 {
             return Outcome::None;
         }
+        let half = self.saving / 2;
         let delay = elapsed.saturating_sub(self.first_token);
-        if self.saving < MIN_SAVING || delay > self.saving.mul_f64(1.5) {
+        let lead = self.first_token.saturating_sub(elapsed);
+        if self.saving < MIN_SAVING {
             Outcome::Unclear
-        } else if delay > self.saving / 2 {
+        } else if elapsed + half < self.uncached {
+            Outcome::Right
+        } else if delay > self.saving + half || lead > half {
+            Outcome::Unclear
+        } else if delay > half {
             Outcome::Wrong
         } else {
             Outcome::Right
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -292,6 +292,7 @@
     let prediction = Prediction {
         cached_tokens,
         saving: best.prefill_time(cached_tokens),
+        uncached: best.prefill_time(request.prompt_tokens),
         first_token: predicted,
     };
     let prefill_tokens = request.prompt_tokens - cached_tokens;
--- a/crates/gateway/tests/prediction.rs
+++ b/crates/gateway/tests/prediction.rs
@@ -11,6 +11,7 @@
 const CACHED: Prediction = Prediction {
     cached_tokens: 6_300,
     saving: ms(160),
+    uncached: ms(230),
     first_token: ms(90),
 };
 
@@ -32,9 +33,24 @@
     let small = Prediction {
         cached_tokens: 500,
         saving: ms(12),
+        uncached: ms(230),
         first_token: ms(90),
     };
     assert_eq!(small.check(ms(60)), Outcome::Unclear);
     let none = Prediction::default();
     assert_eq!(none.check(ms(60)), Outcome::None);
 }
+
+// Load: queues that are shorter than the reports of the peers say. Guards against predictions
+// that are counted as right because the wait was overestimated by more than the saving.
+#[test]
+fn a_first_token_before_its_time_shows_only_what_the_prefill_rules_out() {
+    let queued = Prediction {
+        first_token: ms(490),
+        ..CACHED
+    };
+    assert_eq!(queued.check(ms(100)), Outcome::Right);
+    assert_eq!(queued.check(ms(300)), Outcome::Unclear);
+    assert_eq!(queued.check(ms(480)), Outcome::Right);
+    assert_eq!(queued.check(ms(600)), Outcome::Wrong);
+}
