--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,9 @@
 //!     is_local: true,
 //!     work: Work { pending: 3, pending_tokens: 30_000, running: 0, tokens: 30_000 },
 //!     slots: 64,
+//!     token_time: Duration::from_micros(25),
 //!     cached_tokens: 0,
+//!     expected_loss: 0,
 //!     holds_adapter: true,
 //!     is_ejected: false,
 //!     failure_rate: 0.0,
@@ -33,7 +35,6 @@
 //!     prompt_tokens: 9_000,
 //!     tokens: 9_100,
 //!     capacity: 250_000,
-//!     token_time: Duration::from_micros(25),
 //!     event_gap: Duration::from_millis(500),
 //!     service_time: Duration::from_secs(1),
 //! };
@@ -48,11 +49,13 @@
 pub mod budget;
 pub mod call;
 pub mod connector;
+pub mod cost;
 pub mod crash;
 pub mod demand;
 pub mod demand_rate;
 pub mod environment;
 pub mod event_gap;
+pub mod explanation;
 pub mod feed;
 pub mod fetch;
 pub mod fingerprint;
@@ -67,6 +70,7 @@
 pub mod notices;
 pub mod order;
 pub mod planner;
+pub mod prediction;
 pub mod prefill;
 pub mod prefix;
 pub mod protocol;
@@ -127,6 +131,7 @@
 mod outage;
 mod outcome;
 mod pool;
+mod prefix_cache;
 mod quarantine_record;
 mod reach_check;
 mod read_pacer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::error::Code;
 use crate::memory::Budget;
+use crate::prediction::{Outcome, Prediction};
 use crate::{Result, id};
 
 const SECONDS_BOUNDS: [f64; 12] = [
@@ -42,6 +43,8 @@
     quota_asks: Counter<u64>,
     /// Tenants with series of their own.
     tenants: Arc<Mutex<BTreeSet<id::Tenant>>>,
+    prompt_tokens: Counter<u64>,
+    predictions: Counter<u64>,
     latency: Histogram<f64>,
     memory: Gauge<u64>,
     memory_ended: Counter<u64>,
@@ -116,6 +119,14 @@
                 "almondbank_memory_ended",
                 "Connections and bodies that were evicted or refused, by kind.",
             ),
+            prompt_tokens: counter(
+                "almondbank_prompt_tokens",
+                "Prompt tokens of streams that have begun, by whether they were expected to be cached.",
+            ),
+            predictions: counter(
+                "almondbank_prefix_predictions",
+                "Streams with a prefix that was expected to be cached, by whether it was.",
+            ),
             latency: meter
                 .f64_histogram("almondbank_latency_seconds")
                 .with_description("Time to the first byte of an answer, by route.")
@@ -229,6 +240,20 @@
         self.memory_ended.add(count, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts the prompt of a stream that has begun, and the outcome of the prediction of what
+    /// was cached of it.
+    pub fn prefix(&self, prefill_tokens: u64, prediction: &Prediction, outcome: Outcome) {
+        let cached = |is_cached: bool| [KeyValue::new("cached", is_cached)];
+        self.prompt_tokens.add(prefill_tokens, &cached(false));
+        self.prompt_tokens
+            .add(prediction.cached_tokens, &cached(true));
+        if outcome != Outcome::None {
+            let outcome: &'static str = outcome.into();
+            self.predictions
+                .add(1, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format, with what `memory` holds now.
     #[must_use]
     pub fn page(&self, memory: &Budget) -> String {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,7 +6,11 @@
 
 use crate::call::Target;
 use crate::exchange::Exchange;
+use crate::explanation::{Exclusion, Omission};
 use crate::gateway::Gateway;
+use crate::in_flight::Work;
+use crate::prediction::Prediction;
+use crate::prefix::Memory;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::scoring::{self, Candidate, Request};
@@ -34,8 +38,7 @@
     /// Tokens that need prefill before its first token, including those of other
     /// requests.
     pub(crate) queued_tokens: u64,
-    /// Predicted time to first token.
-    pub(crate) predicted: Duration,
+    pub(crate) prediction: Prediction,
     pub(crate) holds_adapter: bool,
 }
 
@@ -61,48 +64,94 @@
 }
 
 impl Excluded {
-    fn allows(&self, runner: &Runner) -> bool {
+    fn reason(&self, runner: &Runner) -> Option<Exclusion> {
         let software = self.software.as_deref();
-        let is_same = software.is_none_or(|software| software == runner.software());
-        is_same && !self.tried.contains(runner.id())
+        if self.tried.contains(runner.id()) {
+            Some(Exclusion::Tried)
+        } else if software.is_some_and(|software| software != runner.software()) {
+            Some(Exclusion::Software)
+        } else {
+            None
+        }
     }
 }
 
+// Removes the runners for which there is a reason.
+fn omit(
+    runners: &mut Vec<Runner>,
+    omissions: &mut Vec<Omission>,
+    reason: impl Fn(&Runner) -> Option<Exclusion>,
+) {
+    runners.retain(|runner| {
+        let Some(reason) = reason(runner) else {
+            return true;
+        };
+        omissions.push(Omission {
+            runner: runner.id().clone(),
+            reason,
+        });
+        false
+    });
+}
+
 /// Selects a runner that is not excluded.
 pub(crate) fn select(gateway: &Gateway, exchange: &Exchange, excluded: &Excluded) -> Selection {
     let now = gateway.now();
+    match eligible(gateway, exchange, excluded, now, &mut Vec::new()) {
+        Ok(runners) => {
+            let request = request(gateway, exchange);
+            let candidates = candidates(gateway, exchange, &request, &runners, now);
+            choose(exchange, runners, &request, &candidates, now)
+        }
+        Err(selection) => selection,
+    }
+}
+
+/// Returns the runners that could serve the request now, of which there is at least one, or what
+/// to do without one. Adds the others that hold the model to `omissions`.
+pub(crate) fn eligible(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    excluded: &Excluded,
+    now: Duration,
+    omissions: &mut Vec<Omission>,
+) -> Result<Vec<Runner>, Selection> {
     if exchange.remaining(now) <= MIN_REMAINING {
-        return Selection::Refuse(Refusal::new(Reason::Expired));
+        return Err(Selection::Refuse(Refusal::new(Reason::Expired)));
     }
     if let Some(refusal) = crash_report::refusal(gateway, exchange, now) {
-        return Selection::Refuse(refusal);
+        return Err(Selection::Refuse(refusal));
     }
     if gateway.reach.has_lost(&exchange.service) {
         let refusal = Refusal::new(Reason::Unreachable);
-        return Selection::Refuse(refusal.with_retry_after(NO_RUNNER_RETRY_AFTER));
+        return Err(Selection::Refuse(
+            refusal.with_retry_after(NO_RUNNER_RETRY_AFTER),
+        ));
     }
     let registry = &gateway.registry;
     if !registry.has_usable(&exchange.service, now) {
         let refusal = Refusal::new(Reason::NoRunner).with_retry_after(NO_RUNNER_RETRY_AFTER);
         if registry.has_leaving(&exchange.service) {
-            return Selection::Refuse(refusal);
+            return Err(Selection::Refuse(refusal));
         }
-        return Selection::Wait(refusal);
+        return Err(Selection::Wait(refusal));
     }
     if let Some(software) = &excluded.software {
         let usable = registry.usable(&exchange.service, now);
         if !usable.iter().any(|runner| runner.software() == software) {
-            return Selection::Refuse(Refusal::new(Reason::NoSoftware));
+            return Err(Selection::Refuse(Refusal::new(Reason::NoSoftware)));
         }
     }
     let mut runners = match exchange.engine().zip(exchange.call.target.as_ref()) {
         Some((engine, target)) => {
             let Some(model) = engine.models.get(&target.model) else {
-                return Selection::Refuse(Refusal::new(Reason::NoReplica));
+                return Err(Selection::Refuse(Refusal::new(Reason::NoReplica)));
             };
             let (mut runners, has_copy) = registry.replicas(&exchange.service, &target.model, now);
-            runners.retain(|runner| {
-                excluded.allows(runner) && !gateway.health.is_ejected(runner.id(), now)
+            omit(&mut runners, omissions, |runner| {
+                let is_ejected = gateway.health.is_ejected(runner.id(), now);
+                let ejected = is_ejected.then_some(Exclusion::Ejected);
+                excluded.reason(runner).or(ejected)
             });
             if runners.is_empty() {
                 let load_time = if has_copy {
@@ -110,35 +159,42 @@
                 } else {
                     model.store_load
                 };
-                return wait_for_replica(exchange, load_time + LOAD_SLACK, now);
+                return Err(wait_for_replica(exchange, load_time + LOAD_SLACK, now));
             }
             runners
         }
         None => registry.usable(&exchange.service, now),
     };
-    runners.retain(|runner| excluded.allows(runner));
+    omit(&mut runners, omissions, |runner| excluded.reason(runner));
     if runners.is_empty() {
-        return Selection::Refuse(
+        return Err(Selection::Refuse(
             Refusal::new(Reason::Overloaded).with_retry_after(BUSY_RETRY_AFTER),
-        );
+        ));
     }
     if let Some(target) = &exchange.call.target {
-        runners.retain(|runner| {
-            runner.holds_adapter(target) || !excluded.without_adapter.contains(runner.id())
+        omit(&mut runners, omissions, |runner| {
+            let could_not_load = excluded.without_adapter.contains(runner.id());
+            let lacks_adapter = could_not_load && !runner.holds_adapter(target);
+            lacks_adapter.then_some(Exclusion::NoAdapter)
         });
     }
     if runners.is_empty() {
-        return Selection::Wait(Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER));
+        return Err(Selection::Wait(
+            Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER),
+        ));
     }
     let wait = |runner: &Runner| gateway.notice_wait(runner, now);
     let next_turn = runners.iter().map(wait).min().unwrap_or_default();
     if !next_turn.is_zero() {
         let closed = |runner: &Runner| gateway.notices.closed_for(runner.id(), now);
         let closed_for = runners.iter().map(closed).min().unwrap_or_default();
-        return wait_for_turn(exchange, next_turn, closed_for, now);
+        omit(&mut runners, omissions, |_| Some(Exclusion::Limit));
+        return Err(wait_for_turn(exchange, next_turn, closed_for, now));
     }
-    runners.retain(|runner| wait(runner).is_zero());
-    choose(gateway, exchange, runners, now)
+    omit(&mut runners, omissions, |runner| {
+        (!wait(runner).is_zero()).then_some(Exclusion::Limit)
+    });
+    Ok(runners)
 }
 
 /// Whether replicas of the requested model are registered and none of them is in reach. Peers
@@ -200,42 +256,46 @@
     Selection::Wait(refusal)
 }
 
-fn choose(
+/// Returns the candidates for the request, one for each of `runners`.
+pub(crate) fn candidates(
     gateway: &Gateway,
+    exchange: &Exchange,
+    request: &Request,
+    runners: &[Runner],
+    now: Duration,
+) -> Vec<Candidate> {
+    let totals = gateway.in_flight.totals(now);
+    let candidates = runners.iter().map(|runner| {
+        let work = totals.get(runner.id()).copied().unwrap_or_default();
+        candidate(gateway, exchange, request, runner, work, now)
+    });
+    candidates.collect()
+}
+
+/// Chooses one of the candidates, which belong to `runners`.
+pub(crate) fn choose(
     exchange: &Exchange,
     runners: Vec<Runner>,
+    request: &Request,
+    candidates: &[Candidate],
     now: Duration,
 ) -> Selection {
-    let request = request(gateway, exchange);
-    let totals = gateway.in_flight.totals(now);
-    let candidates: Vec<_> = runners
-        .iter()
-        .map(|runner| {
-            let id = runner.id();
-            let target = exchange.call.target.as_ref();
-            Candidate {
-                runner: id.clone(),
-                is_local: runner.registration.data_centre == gateway.settings.data_centre,
-                work: totals.get(id).copied().unwrap_or_default(),
-                slots: runner.registration.slots,
-                cached_tokens: gateway.prefixes.cached_tokens(id, &exchange.blocks),
-                holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
-                is_ejected: gateway.health.is_ejected(id, now),
-                failure_rate: gateway.health.failure_rate(id),
-                recent_gap: gateway.event_gaps.recent(id, now),
-                preference: preference(exchange, id),
-            }
-        })
-        .collect();
-    let Some(best) = scoring::choose(&candidates, &request) else {
+    let Some(best) = scoring::choose(candidates, request) else {
         return Selection::Refuse(Refusal::new(Reason::NoRunner));
     };
-    let predicted = scoring::predict_first_token(best, &request);
+    let predicted = scoring::predict_first_token(best, request);
     if exchange.engine().is_some() && predicted > exchange.remaining(now) {
         let retry_after = predicted.saturating_sub(exchange.route.objective);
         return Selection::Refuse(Refusal::new(Reason::Overloaded).with_retry_after(retry_after));
     }
-    let prefill_tokens = request.prompt_tokens.saturating_sub(best.cached_tokens);
+    let cached_tokens = best.cached_tokens.min(request.prompt_tokens);
+    let prediction = Prediction {
+        cached_tokens,
+        saving: best.prefill_time(cached_tokens),
+        uncached: best.prefill_time(request.prompt_tokens),
+        first_token: predicted,
+    };
+    let prefill_tokens = request.prompt_tokens - cached_tokens;
     let queued_tokens = best.work.pending_tokens + prefill_tokens;
     let holds_adapter = best.holds_adapter;
     let chosen = runners
@@ -245,7 +305,7 @@
             runner,
             prefill_tokens,
             queued_tokens,
-            predicted,
+            prediction,
             holds_adapter,
         });
     match chosen {
@@ -254,8 +314,44 @@
     }
 }
 
-fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
-    let model = exchange.call.target.as_ref().map(|target| &target.model);
+fn candidate(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    request: &Request,
+    runner: &Runner,
+    work: Work,
+    now: Duration,
+) -> Candidate {
+    let id = runner.id();
+    let target = exchange.call.target.as_ref();
+    let engine_target = target.filter(|_| exchange.engine().is_some());
+    let memory = Memory {
+        capacity: request.capacity,
+        in_use: work.tokens,
+        hold: request.service_time,
+    };
+    let prefixes = &gateway.prefixes;
+    let share = prefixes.look_up(id, &exchange.blocks, request.tokens, &memory, now);
+    Candidate {
+        runner: id.clone(),
+        is_local: runner.registration.data_centre == gateway.settings.data_centre,
+        work,
+        slots: runner.registration.slots,
+        token_time: engine_target.map_or(Duration::ZERO, |target| {
+            gateway.prefill.runner_token_time(&target.model, id)
+        }),
+        cached_tokens: share.cached_tokens,
+        expected_loss: share.expected_loss,
+        holds_adapter: target.is_none_or(|target| runner.holds_adapter(target)),
+        is_ejected: gateway.health.is_ejected(id, now),
+        failure_rate: gateway.health.failure_rate(id),
+        recent_gap: gateway.event_gaps.recent(id, now),
+        preference: preference(exchange, id),
+    }
+}
+
+/// Returns what the cost of a runner depends on beside the runner.
+pub(crate) fn request(gateway: &Gateway, exchange: &Exchange) -> Request {
     let is_engine = exchange.engine().is_some();
     Request {
         prompt_tokens: if is_engine {
@@ -267,9 +363,6 @@
         capacity: exchange
             .engine()
             .map_or(0, |engine: &Engine| engine.kv_capacity),
-        token_time: model
-            .filter(|_| is_engine)
-            .map_or(Duration::ZERO, |model| gateway.prefill.token_time(model)),
         event_gap: exchange
             .environment
             .event_gap(&exchange.service)
