Fair shares: a tenant's requests beyond its share wait or are refused

Cause: where callers want more than the runners have slots for, whoever sends most gets most: requests are sent to the runners as they come, and queue there.

Change: in_flight and unserved requests by tenant and rank travel in the status reports and summaries (absent without tenants). Each instance divides the slots of a model's replicas max-min from them, higher ranks first. A tenant that wants no more than its share is sent at once; the share of one that wants more is divided among the instances by what it wants at each. Its other requests wait up to 2 s where that is enough, in their order, and are refused at once otherwise: 503, with the time after which their turn comes. Without tenants no part of this runs.

Ruled out: sending whenever a slot is free by the reports, as all instances see the same slot for as long as a report takes; an equal part for each instance, as shares are smaller than the number of instances.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::exchange::Exchange;
+use crate::fair_share::Place;
 use crate::gateway::Gateway;
 use crate::handover;
 use crate::outcome::{Outcome, Response, Stream};
@@ -59,6 +60,8 @@
     is_in_flight: bool,
     /// Id of the event after which a stream is resumed.
     resume_after: Option<u64>,
+    /// Place among the requests of its tenant; `None` without tenants. Ends with the response.
+    place: Option<Place>,
     /// Last server error from a runner; returned if no other runner succeeds.
     failed: Option<(id::Runner, Response)>,
 }
@@ -83,6 +86,7 @@
             runs: 0,
             is_in_flight: false,
             resume_after: None,
+            place: None,
             failed: None,
         }
     }
@@ -337,7 +341,12 @@
         let mut wait = Wait::new(Arc::clone(&self.gateway), Arc::clone(&self.exchange));
         loop {
             self.check_shutdown()?;
-            match selection::select(&self.gateway, &self.exchange, &self.excluded) {
+            match selection::select(
+                &self.gateway,
+                &self.exchange,
+                &self.excluded,
+                &mut self.place,
+            ) {
                 Selection::Send(chosen) => return Ok(chosen),
                 Selection::Refuse(refusal) | Selection::Wait(refusal) if self.should_offer() => {
                     return Err(refusal);
@@ -355,12 +364,13 @@
                         return Err(self.adjust_refusal(refusal));
                     }
                     let interval = match refusal.reason {
-                        Reason::RunnerLimit => TURN_INTERVAL,
+                        Reason::RunnerLimit | Reason::FairShare => TURN_INTERVAL,
                         _ => RECHECK_INTERVAL,
                     };
                     wait.start();
                     tokio::select! {
                         _ = changed.changed() => {}
+                        () = self.gateway.claims.ended(), if self.place.is_some() => {}
                         () = self.gateway.clock.sleep(interval.min(left)) => {}
                     }
                     self.excluded.without_adapter.clear();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
 use crate::term::Term;
 use crate::topology::Topology;
 use crate::trial::Trials;
-use crate::{Result, buffering, fetch, id, quarantine, reach, software};
+use crate::{Result, buffering, fair_share, fetch, id, quarantine, reach, software};
 
 /// Messages that are queued for forwarding to a peer.
 const FORWARD_QUEUE: usize = 64;
@@ -95,6 +95,8 @@
     pub(crate) fetches: fetch::Pacer,
     pub(crate) registry: Arc<Registry>,
     pub(crate) in_flight: Arc<Tracker>,
+    /// What tenants claim of the runners' slots.
+    pub(crate) claims: Arc<fair_share::Tracker>,
     pub(crate) prefixes: Index,
     pub(crate) health: Arc<Health>,
     /// Requests and prompt parts that crash runners.
@@ -176,6 +178,7 @@
             fetches: fetch::Pacer::default(),
             registry: Arc::new(Registry::new(settings.reconcile_window)),
             in_flight: Arc::default(),
+            claims: Arc::new(fair_share::Tracker::new(&settings.instance)),
             prefixes: Index::default(),
             health: Arc::default(),
             quarantine: quarantine::Tracker::default(),
@@ -426,6 +429,7 @@
         mesh::Status {
             loads: self.in_flight.own(),
             demands: self.demand.take(),
+            claims: self.claims.own(self.now()),
             ..self.status_without_counts()
         }
     }
@@ -447,6 +451,7 @@
             loads: Vec::new(),
             demands: Vec::new(),
             kept: Vec::new(),
+            claims: Vec::new(),
         }
     }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -11,7 +11,7 @@
 use crate::id;
 
 /// Time after which the last report of a peer is ignored.
-const REPORT_TTL: Duration = Duration::from_secs(4);
+pub const REPORT_TTL: Duration = Duration::from_secs(4);
 
 /// Requests in flight on one runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod demand_rate;
 pub mod environment;
 pub mod event_gap;
+pub mod fair_share;
 pub mod feed;
 pub mod fetch;
 pub mod fingerprint;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -274,6 +274,7 @@
     gateway
         .in_flight
         .set_peer(&peer.instance, status.loads.clone(), now);
+    gateway.claims.set_peer(&peer.instance, &status.claims, now);
     gateway.prefixes.merge(status.kept.clone(), now);
     gateway.notices.merge_brittle(&status.brittle, now);
 }
@@ -312,6 +313,9 @@
     gateway
         .demand_rates
         .add(&summary.data_centre, &summary.demands, now);
+    gateway
+        .claims
+        .set_data_centre(&summary.data_centre, &summary.claims, now);
     gateway.prefixes.merge(summary.kept.clone(), now);
     versions
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     handovers: Counter<u64>,
     notices: Counter<u64>,
     links: Counter<u64>,
+    fair_shares: Counter<u64>,
     fetches: Counter<u64>,
     environments: Counter<u64>,
     latency: Histogram<f64>,
@@ -70,6 +71,10 @@
                 "almondbank_notices",
                 "Changes of what runners say of themselves, by kind.",
             ),
+            fair_shares: counter(
+                "almondbank_fair_shares",
+                "Requests that waited or were refused as their tenant had used up its share.",
+            ),
             links: counter("almondbank_links", "Links opened to other instances."),
             fetches: counter(
                 "almondbank_fetches",
@@ -131,6 +136,12 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that waits or is refused as its tenant has used up its share.
+    pub fn fair_share(&self, verdict: &'static str) {
+        self.fair_shares
+            .add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts a link that was opened to another instance.
     pub fn link(&self) {
         self.links.add(1, &[]);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     NoReplica,
     /// All runners are too busy to respond before the deadline.
     Overloaded,
+    /// The tenant has used up its share of the slots, and none is free in time.
+    FairShare,
     /// All runners that could serve the request have reached a limit that they named.
     RunnerLimit,
     /// All runners that could serve the request turn requests away for a time.
@@ -96,6 +98,7 @@
             | Self::NoRunner
             | Self::NoReplica
             | Self::Overloaded
+            | Self::FairShare
             | Self::RunnerLimit
             | Self::RunnerClosed
             | Self::Unreachable
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -74,8 +74,9 @@
         return;
     };
     if !gateway.is_local(&leader) {
-        // The summary of this data centre contains its loads.
+        // The summary of this data centre contains its loads and claims.
         status.loads.clear();
+        status.claims.clear();
     }
     if let Some(link) = gateway.links.get(&leader) {
         link.try_send(Message::Status(status));
@@ -88,6 +89,7 @@
         loads: Vec::new(),
         demands: Vec::new(),
         kept: Vec::new(),
+        claims: Vec::new(),
         ..status.clone()
     }
 }
@@ -131,6 +133,7 @@
             loads: gateway.in_flight.local(now),
             demands,
             kept,
+            claims: gateway.claims.local(now),
         };
         gateway.broadcast(Message::Summary(summary), Origin::Local);
     }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,11 +6,13 @@
 
 use crate::call::Target;
 use crate::exchange::Exchange;
+use crate::fair_share::{Claim, Place, Room, Scope, Verdict};
 use crate::gateway::Gateway;
 use crate::refusal::{Reason, Refusal};
 use crate::registry::Runner;
 use crate::scoring::{self, Candidate, Request};
 use crate::service::Engine;
+use crate::span::millis;
 use crate::{crash_report, id};
 
 /// Time beyond the duration of a load until a replica accepts requests.
@@ -68,8 +70,30 @@
     }
 }
 
-/// Selects a runner that is not excluded.
-pub(crate) fn select(gateway: &Gateway, exchange: &Exchange, excluded: &Excluded) -> Selection {
+/// Selects a runner that is not excluded. `place` is the place of the request among those of
+/// its tenant.
+pub(crate) fn select(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    excluded: &Excluded,
+    place: &mut Option<Place>,
+) -> Selection {
+    let selection = select_runner(gateway, exchange, excluded, place);
+    // A request that waits for something else takes up no slot.
+    match &selection {
+        Selection::Send(_) => {}
+        Selection::Wait(refusal) if refusal.reason == Reason::FairShare => {}
+        Selection::Wait(_) | Selection::Refuse(_) => *place = None,
+    }
+    selection
+}
+
+fn select_runner(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    excluded: &Excluded,
+    place: &mut Option<Place>,
+) -> Selection {
     let now = gateway.now();
     if exchange.remaining(now) <= MIN_REMAINING {
         return Selection::Refuse(Refusal::new(Reason::Expired));
@@ -130,6 +154,9 @@
     if runners.is_empty() {
         return Selection::Wait(Refusal::new(Reason::NoReplica).with_retry_after(BUSY_RETRY_AFTER));
     }
+    if let Some(selection) = claim_slot(gateway, exchange, &runners, place, now) {
+        return selection;
+    }
     let wait = |runner: &Runner| gateway.notice_wait(runner, now);
     let next_turn = runners.iter().map(wait).min().unwrap_or_default();
     if !next_turn.is_zero() {
@@ -153,6 +180,93 @@
     !replicas.is_empty() && replicas.iter().all(is_lost)
 }
 
+// Decides whether the tenant of the request may use a slot of the runners now; returns what to
+// do otherwise. Without tenants, all requests may.
+fn claim_slot(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    runners: &[Runner],
+    place: &mut Option<Place>,
+    now: Duration,
+) -> Option<Selection> {
+    exchange.environment.tenants.as_ref()?;
+    let claim = claim(exchange);
+    let room = Room {
+        capacity: || capacity(gateway, &claim.scope, runners, now),
+        free: || free_slots(gateway, runners, now),
+        service_time: gateway.service_times.average(&exchange.service),
+        left: exchange.wait_deadline().saturating_sub(now),
+    };
+    let is_new = place.is_none();
+    let decision = gateway.claims.decide(place, &claim, room, now);
+    let (selection, retry_after): (fn(Refusal) -> Selection, _) = match decision.verdict {
+        Verdict::Send => return None,
+        Verdict::Wait(wait) => (Selection::Wait, wait.max(BUSY_RETRY_AFTER)),
+        Verdict::Refuse(retry_after) => (Selection::Refuse, retry_after),
+    };
+    if is_new || matches!(decision.verdict, Verdict::Refuse(_)) {
+        let basis = decision.basis;
+        gateway.metrics.fair_share(decision.verdict.into());
+        log::info!(
+            request = exchange.call.attempt.as_str(), tenant = claim.tenant.as_str(),
+            rank = claim.rank, service = claim.scope.service.as_str(),
+            model = claim.scope.model.as_str(), verdict:? = decision.verdict,
+            capacity = basis.capacity, share = basis.share, part = basis.part,
+            wanted = basis.wanted, own_wanted = basis.own_wanted, in_flight = basis.in_flight,
+            others_in_flight = basis.others_in_flight, ahead = basis.ahead,
+            contenders = basis.contenders, all_contenders = basis.all_contenders,
+            oldest_report_ms = millis(basis.oldest_report),
+            waited_ms = millis(now.saturating_sub(exchange.arrived));
+            "tenant has used up its share of the slots"
+        );
+    }
+    let refusal = Refusal::new(Reason::FairShare).with_retry_after(retry_after);
+    Some(selection(refusal))
+}
+
+fn claim(exchange: &Exchange) -> Claim {
+    let target = exchange.engine().and(exchange.call.target.as_ref());
+    let tenant = exchange.tenant.as_ref();
+    Claim {
+        scope: Scope {
+            service: exchange.service.clone(),
+            model: target.map_or_else(String::new, |target| target.model.clone()),
+        },
+        rank: exchange.route.rank,
+        tenant: tenant.map_or_else(String::new, |tenant| tenant.name.clone()),
+    }
+}
+
+// Slots of the runners for the model of `scope`: all that other models do not use, and at least
+// an equal part of them.
+fn capacity(gateway: &Gateway, scope: &Scope, runners: &[Runner], now: Duration) -> u64 {
+    let work = gateway.in_flight.by_model(now);
+    let of_runner = |runner: &Runner| {
+        let slots = runner.registration.slots;
+        let first = (runner.id().clone(), String::new());
+        let models = work.range(first..);
+        let others: Vec<u64> = models
+            .take_while(|((id, _), _)| id == runner.id())
+            .filter(|((_, model), _)| *model != scope.model)
+            .map(|(_, work)| work.requests())
+            .collect();
+        let models = u64::try_from(others.len()).unwrap_or(u64::MAX);
+        let unused = slots.saturating_sub(others.iter().sum());
+        unused.max(slots / models.saturating_add(1))
+    };
+    runners.iter().map(of_runner).sum()
+}
+
+// Number of slots that no instance uses by the last reports.
+fn free_slots(gateway: &Gateway, runners: &[Runner], now: Duration) -> u64 {
+    let totals = gateway.in_flight.totals(now);
+    let free = runners.iter().map(|runner| {
+        let work = totals.get(runner.id()).copied().unwrap_or_default();
+        runner.registration.slots.saturating_sub(work.requests())
+    });
+    free.sum()
+}
+
 // The runners that could serve the request have reached their limits, or all want no requests
 // for `closed_for`. A replica may be loaded on another runner before one of them takes the
 // request.
