--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -158,6 +158,8 @@
                 Ok(chosen) => chosen,
                 Err(_) if self.should_offer() => {
                     self.offers.to_any = true;
+                    // It may not stand in front of requests that stay here.
+                    self.place = None;
                     match self.offer(None).await? {
                         Some(response) => return Ok(response),
                         None => continue,
--- a/crates/gateway/src/fair_share.rs
+++ b/crates/gateway/src/fair_share.rs
@@ -75,6 +75,8 @@
     at: Duration,
     /// Requests that the replicas run or may queue.
     capacity: u64,
+    /// Counted when a decision first depends on it.
+    free: Option<Free>,
     others: BTreeMap<(u8, id::Tenant), Others>,
     /// Number of the claims with unserved requests, counted for each report.
     contenders: u64,
@@ -82,6 +84,14 @@
     oldest: Duration,
 }
 
+/// Free slots at the time of a view.
+#[derive(Clone, Copy, Debug)]
+struct Free {
+    slots: u64,
+    /// Requests that this instance had in flight then.
+    own: u64,
+}
+
 /// What a decision depends on besides the claims. The functions are called only if it does.
 #[derive(Clone, Copy, Debug)]
 pub struct Room<Capacity, Free> {
@@ -129,7 +139,7 @@
             Some(State::Waiting { since, .. }) => since,
             _ => now,
         };
-        let verdict = if basis.is_next() || basis.may_use(room.free) {
+        let verdict = if basis.is_next() || basis.may_use(|| inner.free(&claim.scope, room.free)) {
             Verdict::Send
         } else {
             let left = (since + MAX_WAIT).saturating_sub(now).min(room.left);
@@ -273,6 +283,7 @@
         let view = View {
             at: now,
             capacity: slots + slots / SLOTS_PER_QUEUED,
+            free: None,
             contenders: others.values().map(|others| others.contenders).sum(),
             others,
             oldest,
@@ -280,6 +291,21 @@
         self.views.insert(scope.clone(), view);
     }
 
+    // Number of free slots of a scope. Between two views, requests of this instance that are
+    // sent reduce it; one that ends adds none, as others may queue at its runner.
+    fn free(&mut self, scope: &Scope, slots: impl FnOnce() -> u64) -> u64 {
+        let own = Claim::of_scope(&self.own, scope);
+        let own = own.map(|(_, own)| own.in_flight).sum();
+        let Some(view) = self.views.get_mut(scope) else {
+            return 0;
+        };
+        let free = view.free.get_or_insert_with(|| Free {
+            slots: slots(),
+            own,
+        });
+        free.slots.saturating_sub(own.saturating_sub(free.own))
+    }
+
     // Collects what a decision for one more request of `claim` depends on.
     fn basis(
         &mut self,
--- a/crates/gateway/tests/fair_share.rs
+++ b/crates/gateway/tests/fair_share.rs
@@ -466,6 +466,30 @@
     assert!(tracker.own(SECOND).is_empty());
 }
 
+// Guards against several requests that use the same free slot between two views.
+#[test]
+fn a_free_slot_is_used_once() {
+    let tracker = Arc::new(Tracker::new("entry-1"));
+    let peer = mesh::Claim {
+        service: "engine".to_owned(),
+        model: "m".to_owned(),
+        tenant: "high".to_owned(),
+        rank: 1,
+        in_flight: 3,
+        waiting: 0,
+    };
+    tracker.set_peer("entry-2", &[mesh::Claim { waiting: 9, ..peer }], SECOND);
+    let low = claim(3, "low");
+    let (mut first, mut second) = (None, None);
+    // The higher rank wants all four slots, and one is free nevertheless. Two contend for it.
+    let verdict = decide(&tracker, &mut first, &low, (4, 1), SECOND).verdict;
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+    let verdict = decide(&tracker, &mut first, &low, (4, 2), SECOND * 2).verdict;
+    assert_eq!(verdict, Verdict::Send);
+    let verdict = decide(&tracker, &mut second, &low, (4, 2), SECOND * 2).verdict;
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+}
+
 // Guards against shares beyond the capacity, against slots that are not given to anybody, and
 // against a tenant that gets less than another although it wants more.
 #[test]
