--- a/crates/gateway/tests/fair_share.rs
+++ b/crates/gateway/tests/fair_share.rs
@@ -7,7 +7,7 @@
 use almondbank_gateway::fair_share::{
     Claim, Decision, MAX_REPORTED, Place, Room, Scope, Tracker, Verdict, Want, part, shares,
 };
-use almondbank_wire::mesh;
+use almondbank_wire::{codec, mesh};
 use quickcheck::{Gen, QuickCheck};
 
 const STEP: Duration = Duration::from_millis(20);
@@ -466,6 +466,58 @@
     assert!(tracker.own(SECOND).is_empty());
 }
 
+// Guards against reports that an older release rejects, as it knows no claims.
+#[test]
+fn a_report_without_claims_does_not_name_them() {
+    let tracker = Arc::new(Tracker::new("entry-1"));
+    let names_claims = |tracker: &Tracker| {
+        let summary = mesh::Summary {
+            claims: tracker.local(SECOND),
+            data_centre: "one".to_owned(),
+            demands: Vec::new(),
+            kept: Vec::new(),
+            loads: Vec::new(),
+            members: Vec::new(),
+        };
+        let encoded = codec::encode(&summary);
+        encoded.windows(6).any(|bytes| bytes == b"claims")
+    };
+    assert!(!names_claims(&tracker));
+    let mut place = None;
+    decide(&tracker, &mut place, &claim(3, "t"), (4, 4), SECOND);
+    assert!(names_claims(&tracker));
+}
+
+// Load: an instance that its peers do not hear, while all slots are wanted. Guards against one
+// that serves nobody, and against tenants that it does not treat alike.
+#[test]
+fn an_instance_that_is_cut_off_divides_the_slots_by_itself() {
+    let tracker = Arc::new(Tracker::new("entry-1"));
+    let peer = mesh::Claim {
+        service: "engine".to_owned(),
+        model: "m".to_owned(),
+        tenant: "hot".to_owned(),
+        rank: 3,
+        in_flight: 8,
+        waiting: 50,
+    };
+    tracker.set_peer("entry-2", &[peer], SECOND);
+    let mut places = Vec::new();
+    // All that the tenants want is known before they get the slots.
+    for (capacity, now) in [(0, SECOND * 6), (8, SECOND * 7)] {
+        for _ in 0..10 {
+            for tenant in ["hot", "hot", "hot", "quiet"] {
+                let mut place = None;
+                decide(&tracker, &mut place, &claim(3, tenant), (capacity, 0), now);
+                places.push(place);
+            }
+        }
+    }
+    let claims = tracker.own(SECOND * 7);
+    let in_flight: Vec<_> = claims.iter().map(|claim| claim.in_flight).collect();
+    assert_eq!(in_flight, [4, 4]);
+}
+
 // Guards against several requests that use the same free slot between two views.
 #[test]
 fn a_free_slot_is_used_once() {
