--- a/crates/gateway/tests/topology.rs
+++ b/crates/gateway/tests/topology.rs
@@ -195,3 +195,35 @@
     let serving = members(0, 60, 3, &silent).caller_addresses(NOW);
     assert_eq!(serving.len(), 40);
 }
+
+// Guards against instances that cannot ask the owner of a quota slot in another data centre,
+// and against more links where no tenant has a quota.
+#[test]
+fn links_to_owners_of_quota_slots_are_kept_and_no_others() {
+    let members = members(3, 60, 3, &[]);
+    let owner = BTreeSet::from(["entry-1".to_owned()]);
+    for (owners, is_included) in [(BTreeSet::new(), false), (owner, true)] {
+        let topology = members.topology(address(3), &owners, false, NOW);
+        assert_eq!(topology.includes(address(1)), is_included);
+        assert!(!topology.includes(address(4)));
+    }
+}
+
+// Guards against owners that leave, are not ready or do not report.
+#[test]
+fn owners_of_quota_slots_are_live_and_ready() {
+    let count = 12;
+    for number in 0..count {
+        let members = members(count, count, 3, &[number]);
+        let owners = members.quota_owners(None, NOW);
+        assert!(owners.iter().all(Option::is_some));
+        assert!(!owners.contains(&Some(format!("entry-{number}"))));
+        let leaving = mesh::Report {
+            leaving: true,
+            ..report(hello((number + 1) % count, 3), 0)
+        };
+        members.update(&leaving, NOW);
+        let owners = members.quota_owners(None, NOW);
+        assert!(!owners.contains(&Some(leaving.hello.instance)));
+    }
+}
