Quotas: an owner grants sooner while all instances are in touch

Cause: after all instances had started at once, each new owner granted nothing for 4 s after the 3 s in which an instance learns of the others, and equal shares are smaller than most requests, so that nearly everything was refused with 429.

Change: the takeover time covers failures that others may not have noticed yet. While every known instance is in touch there are none, and views differ only by reports on their way: a larger part is granted after 2 s of such a view.

Ruled out: larger equal shares meanwhile, which add to what another owner may grant.

--- a/crates/gateway/src/quota/ledger.rs
+++ b/crates/gateway/src/quota/ledger.rs
@@ -12,6 +12,8 @@
 /// Time without an update after which the process may have been suspended, while another
 /// instance became the owner.
 const SUSPENSION_TIME: Duration = Duration::from_secs(1);
+/// Longest time until a change at one instance is known to all that are in touch.
+const REPORT_TIME: Duration = Duration::from_secs(2);
 /// Interval at which idle accounts are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -23,6 +25,8 @@
     accounts: BTreeMap<id::Tenant, Account>,
     /// Equal share of one instance.
     share: f64,
+    /// Time since which all instances are in touch.
+    complete_since: Option<Duration>,
     observed_at: Duration,
     swept_at: Duration,
 }
@@ -42,6 +46,7 @@
             standings: [const { None }; SLOTS],
             accounts: BTreeMap::new(),
             share: 0.0,
+            complete_since: None,
             observed_at: Duration::ZERO,
             swept_at: Duration::ZERO,
         }
@@ -53,7 +58,7 @@
         self.observed_at = now;
         let fraction = view.fraction();
         self.share = view.share();
-        let takeover = self.takeover;
+        let takeover = self.takeover(view, now);
         let mut has_lost = false;
         for (slot, (standing, owns)) in self.standings.iter_mut().zip(view.owns).enumerate() {
             if !owns {
@@ -67,12 +72,12 @@
             let standing = standing.get_or_insert_with(|| {
                 log::info!(slot, inherited = inherits; "owner of a quota slot");
                 if inherits {
-                    Standing::inherited(takeover)
+                    Standing::inherited()
                 } else {
-                    Standing::new(takeover, now)
+                    Standing::new(now)
                 }
             });
-            standing.observe(fraction, now);
+            standing.observe(fraction, takeover, now);
         }
         if now.saturating_sub(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
@@ -107,10 +112,25 @@
         Some(account.grant(ask, now))
     }
 
+    // Time after which a larger part is granted. While all instances are in touch, views differ
+    // only by reports on their way, and not by failures that some have not noticed yet.
+    fn takeover(&mut self, view: &View, now: Duration) -> Duration {
+        if !view.is_complete() {
+            self.complete_since = None;
+            return self.takeover;
+        }
+        let since = *self.complete_since.get_or_insert(now);
+        if now.saturating_sub(since) < REPORT_TIME {
+            return self.takeover;
+        }
+        self.takeover.min(REPORT_TIME)
+    }
+
     // Another instance may have become the owner while this process was suspended.
     fn check_suspension(&mut self, now: Duration) {
         if now.saturating_sub(self.observed_at) >= SUSPENSION_TIME {
             self.standings = [const { None }; SLOTS];
+            self.complete_since = None;
             self.accounts.clear();
         }
     }
--- a/crates/gateway/src/quota/service.rs
+++ b/crates/gateway/src/quota/service.rs
@@ -77,6 +77,7 @@
             inherits: former.map(left),
             reachable: gateway.members.live_count(now),
             all: gateway.members.share_count(now),
+            is_settled: self.is_settled(gateway, now),
         };
         self.ledger.lock().observe(&view, now);
         self.allowance.lock().sweep(now);
--- a/crates/gateway/src/quota/standing.rs
+++ b/crates/gateway/src/quota/standing.rs
@@ -10,7 +10,6 @@
 /// that lose a part have then lost it before another one uses it.
 #[derive(Clone, Debug)]
 pub(crate) struct Standing {
-    takeover: Duration,
     /// Parts with the time at which no larger one was seen last, in ascending order.
     parts: VecDeque<(f64, Duration)>,
     /// Start of the time for which it has granted without a break.
@@ -19,30 +18,27 @@
 
 impl Standing {
     /// Creates the state of a new owner, which grants nothing yet.
-    pub(crate) fn new(takeover: Duration, now: Duration) -> Self {
+    pub(crate) fn new(now: Duration) -> Self {
         Self {
-            takeover,
             parts: VecDeque::from([(0.0, now)]),
             granting_since: None,
         }
     }
 
     /// Creates the state of a new owner whose predecessor has stopped.
-    pub(crate) fn inherited(takeover: Duration) -> Self {
+    pub(crate) fn inherited() -> Self {
         Self {
-            takeover,
             parts: VecDeque::new(),
             granting_since: None,
         }
     }
 
-    /// Records the part that the membership allows.
-    pub(crate) fn observe(&mut self, fraction: f64, now: Duration) {
+    /// Records the part that the membership allows. Larger parts are granted after `takeover`.
+    pub(crate) fn observe(&mut self, fraction: f64, takeover: Duration, now: Duration) {
         while self.parts.back().is_some_and(|(part, _)| *part >= fraction) {
             self.parts.pop_back();
         }
         self.parts.push_back((fraction, now));
-        let takeover = self.takeover;
         let is_past = |at: Duration| now.saturating_sub(at) >= takeover && now > at;
         while self.parts.len() > 1 && self.parts.front().is_some_and(|(_, at)| is_past(*at)) {
             self.parts.pop_front();
--- a/crates/gateway/src/quota/view.rs
+++ b/crates/gateway/src/quota/view.rs
@@ -13,6 +13,8 @@
     pub reachable: usize,
     /// Instances that quotas are divided among, including this one.
     pub all: usize,
+    /// Whether this instance knows all others, which it may not right after its start.
+    pub is_settled: bool,
 }
 
 impl View {
@@ -22,6 +24,12 @@
         (count(self.reachable) * self.share()).min(1.0)
     }
 
+    /// Whether all instances that quotas are divided among are in touch with this one.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.is_settled && self.reachable == self.all
+    }
+
     /// Equal share of one instance.
     #[must_use]
     pub fn share(&self) -> f64 {
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -263,6 +263,7 @@
         inherits: [false; quota::SLOTS],
         reachable: 3,
         all: 3,
+        is_settled: false,
     };
     let mut ledger = Ledger::default();
     let mut now = Duration::from_secs(100);
@@ -290,6 +291,7 @@
         inherits: [false; quota::SLOTS],
         reachable,
         all: 4,
+        is_settled: false,
     };
     let mut ledger = Ledger::default();
     let mut now = Duration::from_secs(50);
@@ -325,6 +327,43 @@
     assert_eq!(most(&mut ledger, at), Some(100));
 }
 
+// Guards against a long time without grants after all instances have started at once, and
+// against grants before the others can have heard of this instance.
+#[test]
+fn a_part_grows_sooner_while_all_instances_are_in_touch() {
+    let mut ledger = Ledger::default();
+    let quota = requests(100.0, 100.0);
+    let ask = Ask {
+        costs: vec![1],
+        ..Ask::default()
+    };
+    let mut now = Duration::from_secs(50);
+    let mut first_grant = |reachable: usize, is_settled: bool| {
+        let start = now;
+        while now < start + TAKEOVER_TIME * 2 {
+            now += SECOND / 10;
+            let view = View {
+                owns: [true; quota::SLOTS],
+                inherits: [false; quota::SLOTS],
+                reachable,
+                all: 4,
+                is_settled,
+            };
+            ledger.observe(&view, now);
+            if ledger.grant("entry-1", limit(&quota), &ask, now).is_some() {
+                break;
+            }
+        }
+        let waited = now - start;
+        // Makes the ledger forget what it owned.
+        now += SECOND * 2;
+        waited
+    };
+    assert!((SECOND * 2..SECOND * 3).contains(&first_grant(4, true)));
+    assert!(first_grant(3, true) >= TAKEOVER_TIME);
+    assert!(first_grant(4, false) >= TAKEOVER_TIME);
+}
+
 // Guards against seconds of equal shares after each planned restart of an owner.
 #[test]
 fn an_owner_whose_predecessor_leaves_grants_at_once_from_an_empty_bucket() {
@@ -333,6 +372,7 @@
         inherits: [true; quota::SLOTS],
         reachable: 3,
         all: 3,
+        is_settled: false,
     };
     let mut ledger = Ledger::default();
     let now = Duration::from_secs(50);
--- a/crates/gateway/tests/quota_world/mod.rs
+++ b/crates/gateway/tests/quota_world/mod.rs
@@ -432,6 +432,7 @@
             inherits: [false; quota::SLOTS],
             reachable: live.len(),
             all: self.sharers(number),
+            is_settled: true,
         };
         let node = &mut self.nodes[number];
         node.owner = owner;
