--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -354,7 +354,7 @@
                 break;
             }
         }
-        let waited = now - start;
+        let waited = now.saturating_sub(start);
         // Makes the ledger forget what it owned.
         now += SECOND * 2;
         waited
