Quotas: instances that start at once use their equal shares sooner

Cause: owners of slots had to be ready, and readiness waited for the owners, so that after a start of all instances there was no owner for 3 s; equal shares were refused for the same time and then held back as if an owner might still grant them.

Change: an owner need not be ready. An instance that no owner has granted anything since its start uses its share as soon as it knows how many instances there are: one second after its start, once it has read their rows.

Ruled out: full shares for instances that have lost an owner, which may not have noticed and grant the whole to the others.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -396,8 +396,8 @@
         inner.get(instance).is_some_and(|member| member.follows)
     }
 
-    /// Returns the owners of the quota slots: instances that are live, ready and not leaving,
-    /// among them `own` if it is given.
+    /// Returns the owners of the quota slots: instances that are live and not leaving, among
+    /// them `own` if it is given. They need not be ready, which waits for the owners.
     #[must_use]
     pub fn quota_owners(
         &self,
@@ -409,7 +409,7 @@
         let candidates = inner
             .iter()
             .filter(|(_, member)| member.is_live(now, timeout(member)))
-            .filter(|(_, member)| member.is_ready && !member.is_leaving)
+            .filter(|(_, member)| !member.is_leaving)
             .map(|(instance, _)| instance);
         quota::owners(candidates.chain(own)).map(Option::<&_>::cloned)
     }
--- a/crates/gateway/src/quota/admission.rs
+++ b/crates/gateway/src/quota/admission.rs
@@ -122,6 +122,9 @@
     while let Some(ask) = next {
         let asked_at = gateway.now();
         let grant = obtain(&gateway, limit, &ask).await;
+        if grant.is_some() {
+            gateway.quota.record_owner();
+        }
         let now = gateway.now();
         let share = || gateway.quota.share(&gateway, &tenant.name, now);
         let draw = rand::random();
--- a/crates/gateway/src/quota/service.rs
+++ b/crates/gateway/src/quota/service.rs
@@ -30,6 +30,8 @@
     has_read_members: AtomicBool,
     /// Whether this instance has accepted requests.
     has_served: AtomicBool,
+    /// Whether an owner has granted tokens to this instance since its start.
+    has_had_owner: AtomicBool,
 }
 
 impl Service {
@@ -41,6 +43,7 @@
             is_active: AtomicBool::new(false),
             has_read_members: AtomicBool::new(false),
             has_served: AtomicBool::new(false),
+            has_had_owner: AtomicBool::new(false),
         }
     }
 
@@ -65,7 +68,7 @@
             return BTreeSet::new();
         }
         let own = &gateway.settings.instance;
-        let may_own = gateway.is_ready() && !gateway.is_cut_off();
+        let may_own = !gateway.leaving.is_cancelled();
         let owners = gateway.members.quota_owners(may_own.then_some(own), now);
         let former = self.owners.read().clone();
         let left = |owner: Option<id::Instance>| {
@@ -110,11 +113,16 @@
         may_serve
     }
 
+    // Whether the number of instances is known: all have registered, and their rows were read.
+    fn knows_members(&self, gateway: &Gateway, now: Duration) -> bool {
+        let has_registered = now.saturating_sub(gateway.started) >= REGISTER_TIME;
+        let has_read = self.has_read_members.load(Ordering::Relaxed);
+        (has_registered && has_read) || !gateway.is_settling(now)
+    }
+
     // Whether the other instances have reported, or should have.
     fn is_settled(&self, gateway: &Gateway, now: Duration) -> bool {
-        let age = now.saturating_sub(gateway.started);
-        let has_read = self.has_read_members.load(Ordering::Relaxed);
-        let has_heard = age >= REGISTER_TIME && has_read && gateway.members.all_report();
+        let has_heard = self.knows_members(gateway, now) && gateway.members.all_report();
         has_heard || !gateway.is_settling(now)
     }
 
@@ -139,13 +147,23 @@
         self.ledger.lock().grant(asker, limit, ask, now)
     }
 
-    /// Returns what this instance needs to know for its equal share.
+    /// Records that an owner has granted tokens to this instance.
+    pub(crate) fn record_owner(&self) {
+        self.has_had_owner.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns what this instance needs to know for its equal share. No owner grants the part of
+    /// an instance that has not been granted any since its start.
     pub(crate) fn share(&self, gateway: &Gateway, tenant: &str, now: Duration) -> Share {
         let members = &gateway.members;
         Share {
             position: members.share_position(&gateway.settings.instance, tenant, now),
-            detection: members.detection_time(),
-            is_settled: self.is_settled(gateway, now),
+            detection: if self.has_had_owner.load(Ordering::Relaxed) {
+                members.detection_time()
+            } else {
+                Duration::ZERO
+            },
+            is_settled: self.knows_members(gateway, now),
         }
     }
 }
--- a/crates/gateway/src/quota/share.rs
+++ b/crates/gateway/src/quota/share.rs
@@ -11,6 +11,6 @@
     pub position: Position,
     /// Time after which an owner that does not reach this instance no longer grants its part.
     pub detection: Duration,
-    /// Whether the instance has heard of the others.
+    /// Whether the instance knows how many others there are.
     pub is_settled: bool,
 }
