A body that arrives in pieces is copied once

Cause: the buffer of a body of usual size was doubled up to three times, and each piece took the lock of the body twice.

Change: a body announced with up to 64 KiB gets its buffer with its first piece; a piece that fits takes the lock once. A body that announces much and sends little holds at most 64 KiB more, and gives way first.

--- a/crates/gateway/src/memory/bodies.rs
+++ b/crates/gateway/src/memory/bodies.rs
@@ -270,15 +270,23 @@
             let mut filling = self.slot.filling.lock();
             let filling = filling.as_mut().ok_or(Failure::Slow)?;
             filling.progress.record(bytes.len(), now);
-            (filling.buffer.len() + bytes.len(), filling.charge.bytes())
+            let (length, held) = (filling.buffer.len() + bytes.len(), filling.charge.bytes());
+            if length <= held {
+                filling.buffer.extend_from_slice(bytes);
+                return Ok(());
+            }
+            (length, held)
         };
         if length > self.most {
             return Err(Failure::TooLong);
         }
-        if length > held {
-            let size = length.max(2 * held).max(MIN_BUFFER).min(self.most);
-            self.grow_to(size.max(length), now)?;
-        }
+        // A small body gets its buffer at once, so that its bytes are copied once.
+        let size = if self.most <= SMALL_BODY {
+            self.most
+        } else {
+            length.max(2 * held).max(MIN_BUFFER).min(self.most)
+        };
+        self.grow_to(size, now)?;
         let mut filling = self.slot.filling.lock();
         let filling = filling.as_mut().ok_or(Failure::Slow)?;
         filling.buffer.extend_from_slice(bytes);
