Fair shares apply to services with an engine only

Cause: requests of a plain service take some tens of milliseconds, less than a report of them, and its runners queue several times as many as they run. With one of three runners left, shares refused 350 requests in six seconds that the queue would have served, some with a Retry-After of 10 s.

Change: requests without an engine are not divided.

Ruled out: a bound on the average service time, which an instance learns too late after its start.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -236,7 +236,8 @@
 }
 
 // Decides whether the tenant of the request may use a slot of the runners now; returns what to
-// do otherwise. Without tenants, all requests may.
+// do otherwise. Without tenants, all requests may, and those of services without an engine: they
+// are over before a report of them arrives, and the runners queue several times as many.
 fn claim_slot(
     gateway: &Gateway,
     exchange: &Exchange,
@@ -245,6 +246,7 @@
     now: Duration,
 ) -> Option<Selection> {
     exchange.environment.tenants.as_ref()?;
+    exchange.engine()?;
     let claim = claim(exchange);
     let room = Room {
         capacity: || capacity(gateway, &claim.scope, runners, now),
