Quotas: the time of a takeover among instances in touch follows their reports

Cause: an owner waited 2 s although a change is known everywhere after about 1 s at usual sizes, and longer in very large groups, where 2 s would be too short.

Change: that time is the longest interval of the reports, with that of the summaries where there are several data centres.

Ruled out: a constant, which fits one size only.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -21,6 +21,9 @@
 /// shared limits.
 const SHARE_TTL: Duration = Duration::from_secs(30);
 
+/// Time that a report takes to be sent and applied.
+const REPORT_SLACK: Duration = Duration::from_millis(250);
+
 /// Another instance and its last reported state.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -430,6 +433,18 @@
         1 + inner.values().filter(is_live).count()
     }
 
+    /// Longest time until a change at one instance is known to all that are in touch.
+    #[must_use]
+    pub fn report_time(&self) -> Duration {
+        let inner = self.inner.lock();
+        let local = report_timing::max_interval(self.local_group_size(&inner)) + REPORT_SLACK;
+        if topology::is_hierarchical(inner.len() + 1) {
+            local + report_timing::SUMMARY_INTERVAL
+        } else {
+            local
+        }
+    }
+
     /// Time after which an instance that is out of reach counts as such here, wherever it is.
     #[must_use]
     pub fn detection_time(&self) -> Duration {
--- a/crates/gateway/src/quota/ledger.rs
+++ b/crates/gateway/src/quota/ledger.rs
@@ -15,8 +15,6 @@
 /// Time without an update after which the process may have been suspended, while another
 /// instance became the owner.
 const SUSPENSION_TIME: Duration = Duration::from_secs(1);
-/// Longest time until a change at one instance is known to all that are in touch.
-const REPORT_TIME: Duration = Duration::from_secs(2);
 /// Part of what the bound leaves beyond the quota by which buckets are larger than the burst, so
 /// that a few requests larger than the burst are served together.
 const HEADROOM_PART: f64 = 0.25;
@@ -130,10 +128,10 @@
             return self.takeover;
         }
         let since = *self.complete_since.get_or_insert(now);
-        if now.saturating_sub(since) < REPORT_TIME {
+        if now.saturating_sub(since) < view.report_time {
             return self.takeover;
         }
-        self.takeover.min(REPORT_TIME)
+        self.takeover.min(view.report_time)
     }
 
     // Another instance may have become the owner while this process was suspended.
--- a/crates/gateway/src/quota/service.rs
+++ b/crates/gateway/src/quota/service.rs
@@ -80,6 +80,7 @@
             inherits: former.map(left),
             reachable: gateway.members.live_count(now),
             all: gateway.members.share_count(now),
+            report_time: gateway.members.report_time(),
             is_settled: self.is_settled(gateway, now),
         };
         self.ledger.lock().observe(&view, now);
--- a/crates/gateway/src/quota/view.rs
+++ b/crates/gateway/src/quota/view.rs
@@ -1,5 +1,7 @@
 //! What an instance sees of the others.
 
+use std::time::Duration;
+
 use crate::quota::SLOTS;
 
 /// What an instance sees of the membership, as far as it decides on what it grants.
@@ -13,6 +15,8 @@
     pub reachable: usize,
     /// Instances that quotas are divided among, including this one.
     pub all: usize,
+    /// Longest time until a change at one instance is known to all that are in touch.
+    pub report_time: Duration,
     /// Whether this instance knows all others, which it may not right after its start.
     pub is_settled: bool,
 }
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -303,6 +303,7 @@
         inherits: [false; quota::SLOTS],
         reachable: 3,
         all: 3,
+        report_time: SECOND * 2,
         is_settled: false,
     };
     let mut ledger = Ledger::new(EXACT);
@@ -331,6 +332,7 @@
         inherits: [false; quota::SLOTS],
         reachable,
         all: 4,
+        report_time: SECOND * 2,
         is_settled: false,
     };
     let mut ledger = Ledger::new(EXACT);
@@ -387,6 +389,7 @@
                 inherits: [false; quota::SLOTS],
                 reachable,
                 all: 4,
+                report_time: SECOND * 2,
                 is_settled,
             };
             ledger.observe(&view, now);
@@ -412,6 +415,7 @@
         inherits: [true; quota::SLOTS],
         reachable: 3,
         all: 3,
+        report_time: SECOND * 2,
         is_settled: false,
     };
     let mut ledger = Ledger::new(EXACT);
--- a/crates/gateway/tests/quota_world/mod.rs
+++ b/crates/gateway/tests/quota_world/mod.rs
@@ -435,6 +435,7 @@
             inherits: [false; quota::SLOTS],
             reachable: live.len(),
             all: self.sharers(number),
+            report_time: REPORT_INTERVAL + OBSERVE_INTERVAL,
             is_settled: true,
         };
         let node = &mut self.nodes[number];
