--- a/review/standin-2/cases/unknown_models.rs
+++ b/review/standin-2/cases/unknown_models.rs
@@ -10,12 +10,14 @@
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
-use crate::cases::memory::{self, MEMORY_MB, Scene};
+use crate::cases::memory::{self, Scene};
 use crate::http::Connection;
 use crate::record::Record;
 use crate::store::Store;
 use crate::system::{self, Options, Vm};
 
+/// Memory of a VM, as on `guild-match`.
+const MEMORY_MB: u64 = 260;
 const MODEL: &str = "known";
 /// Requests of the clients that nobody controls, each with a name of this length. Their heads
 /// stay below `maxHeaderBytes`.
@@ -41,7 +43,7 @@
     thread::sleep(Duration::from_secs(4));
 
     let callers: Vec<_> = vms.iter().map(|vm| vm.callers).collect();
-    let scene = Scene::start(vms, record);
+    let scene = Scene::start(vms, MEMORY_MB, record);
     let sent = Arc::new(AtomicUsize::new(0));
     let began = Instant::now();
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -16,6 +16,16 @@
     file: BufWriter<File>,
     /// Number of runs by attempt id.
     runs: BTreeMap<String, usize>,
+    orders: Vec<Order>,
+}
+
+/// An order as a runner received it.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub at: Instant,
+    pub runner: String,
+    pub holder: String,
+    pub fencing: u64,
 }
 
 impl Record {
@@ -25,6 +35,7 @@
                 began: Instant::now(),
                 file: BufWriter::new(File::create(path)?),
                 runs: BTreeMap::new(),
+                orders: Vec::new(),
             })),
         })
     }
@@ -51,6 +62,20 @@
         inner.runs.get(attempt).copied().unwrap_or(0)
     }
 
+    pub fn ordered(&self, runner: &str, holder: &str, fencing: u64) {
+        let order = Order {
+            at: Instant::now(),
+            runner: runner.to_owned(),
+            holder: holder.to_owned(),
+            fencing,
+        };
+        self.inner.lock().unwrap().orders.push(order);
+    }
+
+    pub fn orders(&self) -> Vec<Order> {
+        self.inner.lock().unwrap().orders.clone()
+    }
+
     pub fn flush(&self) {
         let _ = self.inner.lock().unwrap().file.flush();
     }
