--- a/review/standin-2/cases/many_parts.rs
+++ b/review/standin-2/cases/many_parts.rs
@@ -63,14 +63,20 @@
         }
         thread::sleep(Duration::from_millis(2));
     }
-    record.say(&format!("{} requests sent with lists of {} bytes", open.len(), parts.len()));
+    record.say(&format!(
+        "{} requests sent with lists of {} bytes",
+        open.len(),
+        parts.len()
+    ));
     let mut statuses: BTreeMap<u16, usize> = BTreeMap::new();
     for mut connection in open {
         let answer = connection.receive();
         let status = answer.map_or(0, |response| response.status);
         *statuses.entry(status).or_default() += 1;
     }
-    record.say(&format!("they were answered, by status (0: no answer): {statuses:?}"));
+    record.say(&format!(
+        "they were answered, by status (0: no answer): {statuses:?}"
+    ));
     thread::sleep(Duration::from_secs(2));
     Ok(scene.finish())
 }
--- a/review/standin-2/cases/memory.rs
+++ b/review/standin-2/cases/memory.rs
@@ -2,8 +2,8 @@
 //! memory.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -148,17 +148,28 @@
         // The processes end after the clients.
         self.ended.store(true, Ordering::Relaxed);
         let ended = self.platform.join().unwrap_or_default();
-        let (served, lost) = (self.served.load(Ordering::Relaxed), self.lost.load(Ordering::Relaxed));
+        let (served, lost) = (
+            self.served.load(Ordering::Relaxed),
+            self.lost.load(Ordering::Relaxed),
+        );
         let record = self.record;
-        record.say(&format!("ordinary requests answered with success: {served}"));
-        record.say(&format!("processes that exceeded their memory, and were ended: {ended}"));
+        record.say(&format!(
+            "ordinary requests answered with success: {served}"
+        ));
+        record.say(&format!(
+            "processes that exceeded their memory, and were ended: {ended}"
+        ));
         record.say(&format!(
             "requests of kept connections passed on to a sound runner and closed without an answer: {lost}"
         ));
         if served == 0 {
             return Outcome::CouldNotRun;
         }
-        if lost > MAX_LOST { Outcome::Broken } else { Outcome::Held }
+        if lost > MAX_LOST {
+            Outcome::Broken
+        } else {
+            Outcome::Held
+        }
     }
 }
 
@@ -219,7 +230,11 @@
             };
             while !self.stopped.load(Ordering::Relaxed) {
                 count += 1;
-                if !self.book(&mut connection, &format!("book-{}-{count}", self.number), address) {
+                if !self.book(
+                    &mut connection,
+                    &format!("book-{}-{count}", self.number),
+                    address,
+                ) {
                     break;
                 }
             }
@@ -233,7 +248,8 @@
         let sent = connection.send(&request("/book/x", attempt, 1500));
         match sent.and_then(|()| connection.receive()) {
             Ok(response) if response.is_complete => {
-                self.record.line(&format!("answered {attempt}: {}", response.status));
+                self.record
+                    .line(&format!("answered {attempt}: {}", response.status));
                 if response.status == 200 {
                     self.served.fetch_add(1, Ordering::Relaxed);
                 } else {
--- a/review/standin-2/cases/no_connections.rs
+++ b/review/standin-2/cases/no_connections.rs
@@ -58,11 +58,12 @@
                 while !stopped.load(Ordering::Relaxed) {
                     let attempt = format!("book-{number}-{}", tries.len());
                     let at = Instant::now();
-                    let answer = Connection::open(address, Duration::from_millis(1500))
-                        .and_then(|mut connection| {
+                    let answer = Connection::open(address, Duration::from_millis(1500)).and_then(
+                        |mut connection| {
                             connection.send(&memory::request("/book/x", &attempt, 1500))?;
                             connection.receive()
-                        });
+                        },
+                    );
                     record.line(&match &answer {
                         Ok(response) => format!("{attempt} was answered: {}", response.status),
                         Err(error) => format!("{attempt} got no answer: {error}"),
@@ -78,7 +79,11 @@
 
     // Without trouble, the crowd asks for a model that the runner holds.
     let held = MODELS.iter().find(|model| **model != missing);
-    let model = if has_trouble { Some(missing.as_str()) } else { held.copied() };
+    let model = if has_trouble {
+        Some(missing.as_str())
+    } else {
+        held.copied()
+    };
     let model = model.unwrap_or_default().to_owned();
     let crowd: Vec<_> = (0..CROWD)
         .map(|number| {
@@ -96,7 +101,9 @@
         let status = client.join().unwrap_or_default();
         *statuses.entry(status).or_default() += 1;
     }
-    record.say(&format!("the crowd was answered, by last status (0: no answer): {statuses:?}"));
+    record.say(&format!(
+        "the crowd was answered, by last status (0: no answer): {statuses:?}"
+    ));
     thread::sleep(Duration::from_secs(2));
     stopped.store(true, Ordering::Relaxed);
 
@@ -109,14 +116,22 @@
     let taken: Vec<_> = taken.map(|(at, _)| *at).collect();
     let gaps = taken.windows(2).map(|pair| pair[1].duration_since(pair[0]));
     let longest = gaps.max().unwrap_or_default();
-    record.say(&format!("connections of {OTHERS} other callers: {} of {} taken", taken.len(), tries.len()));
+    record.say(&format!(
+        "connections of {OTHERS} other callers: {} of {} taken",
+        taken.len(),
+        tries.len()
+    ));
     record.say(&format!(
         "longest time in which none was: {longest:?}; the process said all the while that it was ready: {is_ready}"
     ));
     if taken.len() < 2 {
         return Ok(Outcome::CouldNotRun);
     }
-    Ok(if longest > CONTACT && is_ready { Outcome::Broken } else { Outcome::Held })
+    Ok(if longest > CONTACT && is_ready {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
 
 // One client of the crowd. It tries again if its connection is closed unread.
@@ -127,12 +142,17 @@
         tries += 1;
         let attempt = format!("pair-{number}-{tries}");
         let mut request = memory::request("/pair/x", &attempt, 13_000);
-        request.headers.push(("Almondbank-Model".to_owned(), model.to_owned()));
-        request.headers.push(("Almondbank-Token-Usage".to_owned(), "100,10".to_owned()));
-        let answer = Connection::open(address, Duration::from_secs(14)).and_then(|mut connection| {
-            connection.send(&request)?;
-            connection.receive()
-        });
+        request
+            .headers
+            .push(("Almondbank-Model".to_owned(), model.to_owned()));
+        request
+            .headers
+            .push(("Almondbank-Token-Usage".to_owned(), "100,10".to_owned()));
+        let answer =
+            Connection::open(address, Duration::from_secs(14)).and_then(|mut connection| {
+                connection.send(&request)?;
+                connection.receive()
+            });
         if let Ok(response) = answer {
             return response.status;
         }
--- a/review/standin-2/cases/two_leaders.rs
+++ b/review/standin-2/cases/two_leaders.rs
@@ -77,7 +77,9 @@
         for number in 0..CLIENTS {
             let (address, stopped, record) = (vm.callers, Arc::clone(&stopped), record.clone());
             let name = format!("ask-{place}-{number}");
-            clients.push(thread::spawn(move || ask(&name, address, &stopped, &record)));
+            clients.push(thread::spawn(move || {
+                ask(&name, address, &stopped, &record)
+            }));
         }
     }
     thread::sleep(Duration::from_secs(5));
@@ -89,7 +91,9 @@
             break;
         };
         let copy = store.copy();
-        record.say(&format!("round {round}: {leader} leads; the store is copied"));
+        record.say(&format!(
+            "round {round}: {leader} leads; the store is copied"
+        ));
         let copied = Instant::now();
         restart_all(&mut vms, &leader, record);
         thread::sleep(Duration::from_millis(700));
@@ -100,7 +104,10 @@
             thread::sleep(AWAY);
             store.come_back(&copy);
             back = Instant::now();
-            record.say(&format!("the store is back from a copy of {:.1} s ago", copied.elapsed().as_secs_f64()));
+            record.say(&format!(
+                "the store is back from a copy of {:.1} s ago",
+                copied.elapsed().as_secs_f64()
+            ));
             // What the operator wrote is written again; the runners write theirs themselves.
             store.put("op", "config", &document());
         }
@@ -117,7 +124,9 @@
     let orders = record.orders();
     record.say(&format!("orders: {}", orders.len()));
     // Also without trouble, none may have an older token than the one before.
-    if outcome == Outcome::Held && has_stale_order(&orders, Instant::now() - Duration::from_secs(600), record) {
+    if outcome == Outcome::Held
+        && has_stale_order(&orders, Instant::now() - Duration::from_secs(600), record)
+    {
         outcome = Outcome::Broken;
     }
     Ok(outcome)
@@ -184,7 +193,9 @@
         highest.insert(&order.runner, order);
     }
     if stale > 0 {
-        record.say(&format!("orders with a lower token after a higher one: {stale}"));
+        record.say(&format!(
+            "orders with a lower token after a higher one: {stale}"
+        ));
     }
     stale > 0
 }
@@ -203,16 +214,23 @@
                 ("Host", HOST.to_owned()),
                 ("Almondbank-Attempt-Id", attempt.clone()),
                 ("Almondbank-Deadline-Ms", "3000".to_owned()),
-                ("Almondbank-Model", format!("m1/a{}", 1 + count * 7 % ADAPTERS)),
+                (
+                    "Almondbank-Model",
+                    format!("m1/a{}", 1 + count * 7 % ADAPTERS),
+                ),
                 ("Almondbank-Token-Usage", "100,10".to_owned()),
             ];
             let request = Request {
                 method: "POST".to_owned(),
                 target: "/ask/x".to_owned(),
-                headers: headers.map(|(name, value)| (name.to_owned(), value)).to_vec(),
+                headers: headers
+                    .map(|(name, value)| (name.to_owned(), value))
+                    .to_vec(),
                 body: b"{}".to_vec(),
             };
-            let answer = connection.send(&request).and_then(|()| connection.receive());
+            let answer = connection
+                .send(&request)
+                .and_then(|()| connection.receive());
             record.line(&match &answer {
                 Ok(response) => format!("{attempt} was answered: {}", response.status),
                 Err(error) => format!("{attempt} got no answer: {error}"),
--- a/review/standin-2/cases/unknown_models.rs
+++ b/review/standin-2/cases/unknown_models.rs
@@ -100,7 +100,9 @@
                 add("X-Padding", &name);
             }
             add("Almondbank-Token-Usage", "100,10");
-            let answer = connection.send(&request).and_then(|()| connection.receive());
+            let answer = connection
+                .send(&request)
+                .and_then(|()| connection.receive());
             let status = answer.as_ref().map_or(0, |response| response.status);
             *statuses.entry(status).or_default() += 1;
             thread::sleep(PAUSE);
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -26,7 +26,9 @@
     pub fn parameter(&self, name: &str) -> Option<String> {
         let (_, query) = self.target.split_once('?')?;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| decode(value))
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| decode(value))
     }
 }
 
@@ -96,9 +98,13 @@
     let mut bytes = Vec::new();
     if find(headers, "transfer-encoding").contains("chunked") {
         loop {
-            let Ok(Some(size)) = line(reader) else { return (bytes, false) };
+            let Ok(Some(size)) = line(reader) else {
+                return (bytes, false);
+            };
             let size = size.split(';').next().unwrap_or_default().trim();
-            let Ok(size) = usize::from_str_radix(size, 16) else { return (bytes, false) };
+            let Ok(size) = usize::from_str_radix(size, 16) else {
+                return (bytes, false);
+            };
             let mut chunk = vec![0; size];
             if reader.read_exact(&mut chunk).is_err() || line(reader).is_err() {
                 return (bytes, false);
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -69,7 +69,10 @@
     pub fn start(config: Config, store: &Store, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let models = config.models.iter().map(|model| (model.clone(), Vec::new()));
+        let models = config
+            .models
+            .iter()
+            .map(|model| (model.clone(), Vec::new()));
         let runner = Self {
             address: listener.local_addr()?,
             born: now.unwrap_or_default().as_millis(),
@@ -106,7 +109,9 @@
     pub fn missing(&self, models: &[&str]) -> Option<String> {
         let mut state = self.state.lock().unwrap();
         state.settle();
-        let missing = models.iter().find(|model| !state.models.contains_key(**model));
+        let missing = models
+            .iter()
+            .find(|model| !state.models.contains_key(**model));
         missing.map(|model| (*model).to_owned())
     }
 
@@ -127,7 +132,11 @@
 
     fn copies(&self) -> String {
         let state = self.state.lock().unwrap();
-        let copies: Vec<_> = state.copies.iter().map(|model| json::quote(model)).collect();
+        let copies: Vec<_> = state
+            .copies
+            .iter()
+            .map(|model| json::quote(model))
+            .collect();
         copies.join(",")
     }
 
@@ -160,7 +169,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
             if self.answer(&mut writer, &request).is_err() {
@@ -173,13 +184,14 @@
         let id = self.config.id.as_str();
         let expected = request.header("almondbank-expect-instance");
         if !expected.is_empty() && expected != id {
-            let headers = [("Almondbank-Not-Executed", "1"), ("Almondbank-Instance-Id", id)];
+            let headers = [
+                ("Almondbank-Not-Executed", "1"),
+                ("Almondbank-Instance-Id", id),
+            ];
             return http::write_response(writer, 421, &headers, b"");
         }
         match request.path() {
-            "/health" => {
-                http::write_response(writer, 200, &[("Almondbank-Instance-Id", id)], b"")
-            }
+            "/health" => http::write_response(writer, 200, &[("Almondbank-Instance-Id", id)], b""),
             "/v1/report" => http::write_response(writer, 200, &[], self.report().as_bytes()),
             "/v1/order" => {
                 let status = self.order(request);
@@ -196,9 +208,13 @@
             return 400;
         };
         let (model, adapter) = (order.get("model").text(), order.get("adapter").text());
-        let (holder, fencing) = (order.get("holder").text(), order.get("fencingToken").number());
+        let (holder, fencing) = (
+            order.get("holder").text(),
+            order.get("fencingToken").number(),
+        );
         self.record.ordered(&self.config.id, holder, fencing);
-        self.record.line(&format!("order at {}: {text}", self.config.id));
+        self.record
+            .line(&format!("order at {}: {text}", self.config.id));
         let mut state = self.state.lock().unwrap();
         state.settle();
         if self.config.checks_fencing && fencing < state.fencing {
@@ -221,7 +237,9 @@
             }
         } else {
             // Adapters are named a1, a2, and so on.
-            let is_known = adapter.strip_prefix('a').is_some_and(|rest| rest.parse::<u8>().is_ok());
+            let is_known = adapter
+                .strip_prefix('a')
+                .is_some_and(|rest| rest.parse::<u8>().is_ok());
             let Some(adapters) = state.models.get_mut(model).filter(|_| is_known) else {
                 return 400;
             };
@@ -249,10 +267,14 @@
             let mut state = self.state.lock().unwrap();
             state.settle();
             let adapters = state.models.get(model);
-            adapters.is_some_and(|held| adapter.is_empty() || held.iter().any(|name| name == adapter))
+            adapters
+                .is_some_and(|held| adapter.is_empty() || held.iter().any(|name| name == adapter))
         };
         if !self.config.models.is_empty() && !holds {
-            let headers = [("Almondbank-Not-Executed", "1"), ("Almondbank-Attempt-Id", attempt)];
+            let headers = [
+                ("Almondbank-Not-Executed", "1"),
+                ("Almondbank-Attempt-Id", attempt),
+            ];
             return http::write_response(writer, 421, &headers, b"");
         }
         self.record.ran(attempt, &self.config.id);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -67,7 +67,8 @@
         rows.version += 1;
         let version = rows.version;
         let key = (table.to_owned(), key.to_owned());
-        rows.rows.insert(key, (Some(encode(value.as_bytes())), version));
+        rows.rows
+            .insert(key, (Some(encode(value.as_bytes())), version));
         changed.notify_all();
     }
 
@@ -95,7 +96,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
             if self.is_away.load(Ordering::Relaxed) {
@@ -128,7 +131,12 @@
         let Some(call) = json::parse(&text) else {
             return (400, "{}".to_owned());
         };
-        let key = |row: &Value| (row.get("table").text().to_owned(), row.get("key").text().to_owned());
+        let key = |row: &Value| {
+            (
+                row.get("table").text().to_owned(),
+                row.get("key").text().to_owned(),
+            )
+        };
         let (rows, changed) = &*self.rows;
         let mut rows = rows.lock().unwrap();
         if self.is_away.load(Ordering::Relaxed) {
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -67,7 +67,11 @@
             }
             addresses.push(of_vm);
         }
-        let seeds: Vec<_> = addresses.iter().take(3).map(|of_vm| format!("\"{}\"", of_vm[2])).collect();
+        let seeds: Vec<_> = addresses
+            .iter()
+            .take(3)
+            .map(|of_vm| format!("\"{}\"", of_vm[2]))
+            .collect();
         let seeds = seeds.join(",");
         let mut vms = Vec::new();
         for (index, of_vm) in addresses.iter().enumerate() {
@@ -80,7 +84,11 @@
                  checks_fencing: {}\nlease_ms: 3000\ngrace_s: 8\nretry_ratio: 0.2\n\
                  retry_window_s: 10\nretry_extra: 52\nload_window_s: 5\nload_overage: 1.1\n\
                  max_ttl_s: 5\n",
-                of_vm[0], of_vm[1], of_vm[2], of_vm[3], of_vm[4],
+                of_vm[0],
+                of_vm[1],
+                of_vm[2],
+                of_vm[3],
+                of_vm[4],
                 store.address,
                 options.max_files,
                 options.memory_mb,
@@ -105,7 +113,10 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn run(&mut self) -> std::io::Result<()> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new("target/release/almondbank")
             .arg("gateway")
             .env("ALMONDBANK_CONFIG", &self.settings)
@@ -162,7 +173,9 @@
         let Ok(mut connection) = Connection::open(self.ready, timeout) else {
             return false;
         };
-        let response = connection.send(&request).and_then(|()| connection.receive());
+        let response = connection
+            .send(&request)
+            .and_then(|()| connection.receive());
         response.is_ok_and(|response| response.status == 200)
     }
 }
