Survive a log that reaches the limit on the size of files

What callers saw: a gateway ended as soon as its log reached the limit on the size of files, and each later start ended within 0.1 s, as the log is appended to. No line said why, as no line could be written.

Cause: the kernel sends SIGXFSZ with the write that fails, and its default effect ends the process. Only SIGTERM, SIGINT and SIGHUP had handlers.

The write then fails with EFBIG, which costs lines only. The signal is logged the first, second, fourth, ... time, as one may come with each write.

--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,12 +1,19 @@
 //! Signals that a process handles.
 
+use std::future;
 use std::io;
+use std::task::Poll;
 
-use strum::Display;
-use tokio::signal::unix::{self, SignalKind, signal};
+use nix::sys::signal;
+use strum::{Display, EnumIter, IntoEnumIterator};
+use tokio::signal::unix::{self, SignalKind};
+
+/// Signals that end a process by default and that mean nothing to this one. The kernel sends
+/// SIGXFSZ when a file, such as the log, reaches the limit on its size; the write then fails.
+const IGNORED: [signal::Signal; 1] = [signal::Signal::SIGXFSZ];
 
 /// A signal that was received.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
 pub(crate) enum Signal {
     /// The process is to end.
     #[strum(serialize = "SIGTERM")]
@@ -19,12 +26,28 @@
     Hangup,
 }
 
+impl Signal {
+    fn number(self) -> signal::Signal {
+        match self {
+            Self::Terminate => signal::Signal::SIGTERM,
+            Self::Interrupt => signal::Signal::SIGINT,
+            Self::Hangup => signal::Signal::SIGHUP,
+        }
+    }
+}
+
 /// Handlers of signals. Without its handler, a signal ends the process.
 #[derive(Debug)]
 pub(crate) struct Signals {
-    terminate: unix::Signal,
-    interrupt: unix::Signal,
-    hangup: unix::Signal,
+    handled: Vec<(Signal, unix::Signal)>,
+    ignored: Vec<Ignored>,
+}
+
+#[derive(Debug)]
+struct Ignored {
+    signal: signal::Signal,
+    handler: unix::Signal,
+    received: u64,
 }
 
 impl Signals {
@@ -34,20 +57,37 @@
     ///
     /// Fails if the kernel or the runtime rejects a handler.
     pub(crate) fn install() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
-        })
+        let mut handled = Vec::new();
+        for signal in Signal::iter() {
+            handled.push((signal, handler(signal.number())?));
+        }
+        let mut ignored = Vec::new();
+        for signal in IGNORED {
+            ignored.push(Ignored {
+                signal,
+                handler: handler(signal)?,
+                received: 0,
+            });
+        }
+        Ok(Self { handled, ignored })
     }
 
-    /// Waits for the next signal.
+    /// Waits for the next signal that means something to the process.
     pub(crate) async fn next(&mut self) -> Signal {
-        tokio::select! {
-            _ = self.terminate.recv() => Signal::Terminate,
-            _ = self.interrupt.recv() => Signal::Interrupt,
-            _ = self.hangup.recv() => Signal::Hangup,
-        }
+        future::poll_fn(|context| {
+            for ignored in &mut self.ignored {
+                while ignored.handler.poll_recv(context).is_ready() {
+                    ignored.report();
+                }
+            }
+            for (signal, handler) in &mut self.handled {
+                if handler.poll_recv(context).is_ready() {
+                    return Poll::Ready(*signal);
+                }
+            }
+            Poll::Pending
+        })
+        .await
     }
 
     /// Waits for a signal that tells the process to end.
@@ -60,3 +100,18 @@
         }
     }
 }
+
+impl Ignored {
+    // A signal may come with each line of the log, so that ever fewer of them are logged.
+    fn report(&mut self) {
+        self.received += 1;
+        if self.received.is_power_of_two() {
+            log::warn!(signal = self.signal.as_str(), received = self.received; "signal ignored");
+        }
+    }
+}
+
+fn handler(signal: signal::Signal) -> io::Result<unix::Signal> {
+    // The numbers of signals are the discriminants of the enum.
+    unix::signal(SignalKind::from_raw(signal as i32))
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -0,0 +1,75 @@
+//! Gateway processes that meet a limit of the kernel or a signal.
+
+use std::path::Path;
+use std::time::Duration;
+
+use almondbank_emulator::caller::{Call, Connection};
+use almondbank_emulator::document;
+use almondbank_emulator::process::{Listener, Process};
+use almondbank_emulator::store::Store;
+use tokio::time;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_almondbank");
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Unit of `ulimit -f`.
+const BLOCK_BYTES: usize = 512;
+const FILE_BLOCKS: usize = 8;
+/// Requests whose lines exceed the limit on the size of files.
+const REQUESTS: usize = 200;
+/// Time that a process gets to end.
+const HOLD_TIME: Duration = Duration::from_millis(700);
+
+async fn store() -> Store {
+    let store = Store::start().await.unwrap();
+    let document = document::desired(1, &["m"]);
+    store.put("op", "config", document.to_string().as_bytes());
+    store
+}
+
+fn prepare(store: &Store) -> Process {
+    let process = Process::new().unwrap();
+    let settings = process.settings(store.address());
+    std::fs::write(process.settings_path(), settings).unwrap();
+    process
+}
+
+// Sends requests whose lines go to the log, and waits for each response.
+async fn check_serving(process: &mut Process) {
+    let address = process.address(Listener::Callers);
+    let mut connection = Connection::open(address).await.unwrap();
+    for number in 0..REQUESTS {
+        let call = Call::get("/absent/", &format!("r-{number}"));
+        let response = connection.send(&call).await;
+        let ended = process.ended().unwrap();
+        assert!(ended.is_none(), "after {number} requests: {ended:?}");
+        assert_eq!(response.unwrap().status, 404);
+    }
+    time::sleep(HOLD_TIME).await;
+    let ended = process.ended().unwrap();
+    assert!(ended.is_none(), "{ended:?}");
+    assert!(process.is_ready().await);
+}
+
+#[tokio::test]
+async fn a_log_that_reaches_the_limit_on_the_size_of_files_does_not_end_a_process() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    let options = format!("-f {FILE_BLOCKS}");
+    process.start_limited(Path::new(BINARY), &options).unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    check_serving(&mut process).await;
+    let length = std::fs::metadata(process.log_path()).unwrap().len();
+    assert_eq!(usize::try_from(length), Ok(FILE_BLOCKS * BLOCK_BYTES));
+}
+
+#[tokio::test]
+async fn a_log_that_is_full_at_the_start_does_not_keep_a_process_from_serving() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    let full = vec![b' '; FILE_BLOCKS * BLOCK_BYTES];
+    std::fs::write(process.log_path(), full).unwrap();
+    let options = format!("-f {FILE_BLOCKS}");
+    process.start_limited(Path::new(BINARY), &options).unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    check_serving(&mut process).await;
+}
