Write log lines again that could not be written, and count failures

What operators saw: nothing. On a full disk, at a limit on the size of files, or on a pipe that does not block and is full, the lines of a batch were lost without a trace, neither in the log nor in the metrics, and the log went on after half a line, which no parser reads.

Cause: the result of write_all was ignored, and the queue counted only lines that did not fit into it.

Change: log_output.rs writes a batch until it is written, 100 ms after a failure, or when a pipe that does not block has room. The queue bounds what waits, as before, and lines beyond it are counted. Failures by error, lost lines and waiting bytes are metrics, and a line tells of the gap. A kernel that refuses the thread no longer fails the start: lines wait, and the thread is tried again each second.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -10,6 +10,7 @@
 use getopts::Options;
 use tokio::runtime;
 
+use crate::log_output::{Flush, Output};
 use crate::signals::{Signal, Signals};
 use crate::{Failure, json_log, open_files};
 
@@ -60,9 +61,11 @@
     runtime.block_on(async {
         // Comes before all else that takes time: a signal without a handler ends the process.
         let signals = Signals::install()?;
-        let _flush = json_log::set_up(log::LevelFilter::Info)?;
+        let output = json_log::set_up(log::LevelFilter::Info)?;
+        let _flush = Flush(output.clone());
+        tokio::spawn(output.clone().keep_writing(Arc::new(clock::System::new())));
         log::info!(version = env!("CARGO_PKG_VERSION"), pid = std::process::id(); "starting");
-        let ended = serve(&path, signals).await;
+        let ended = serve(&path, signals, output).await;
         ended.inspect_err(|error| log::error!(error:% = error; "failed to start"))
     })
 }
@@ -92,7 +95,7 @@
     }
 }
 
-async fn serve(path: &Path, mut signals: Signals) -> Result<(), Failure> {
+async fn serve(path: &Path, mut signals: Signals, output: Output) -> Result<(), Failure> {
     let clock = clock::System::new();
     let settings = tokio::select! {
         settings = read_complete(path, &clock) => settings?,
@@ -109,6 +112,7 @@
     let ports = almondbank_platform::ports(&limited);
     let clock = Arc::clone(&ports.clock);
     let instance = Instance::start(limited, ports)?;
+    instance.export_log_status(move || output.status());
     let signal = follow_settings(&mut signals, settings, path, clock).await;
     log::info!("received {signal}; shutting down");
     instance.shutdown().await;
--- a/crates/daemon/src/json_log.rs
+++ b/crates/daemon/src/json_log.rs
@@ -1,26 +1,15 @@
 //! Logger that writes JSON lines to standard output.
-//!
-//! A thread writes the lines from a bounded queue, so that a slow reader does not
-//! block the tasks that log. Lines that do not fit, by their number or their bytes, are
-//! dropped; a later line holds their count.
 
-use std::io::{self, Write};
+use std::io;
 use std::panic;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::kv::{self, VisitSource};
 use serde_json::{Map, Value, json};
 
 use crate::Failure;
+use crate::log_output::{Gap, Output};
 
-/// Capacity of the queue, in lines.
-const QUEUE_CAPACITY: usize = 4096;
-/// Capacity of the queue, in bytes. Callers choose the length of some fields.
-const QUEUE_BYTES: usize = 2 << 20;
 /// Crates that log at the configured level; all others log warnings and errors.
 const OWN_CRATES: [&str; 5] = [
     "almondbank",
@@ -30,52 +19,13 @@
     "almondbank_port",
 ];
 
-/// Longest time for which the end of the process waits until its last lines are written.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
-
-enum Entry {
-    Line(Vec<u8>),
-    /// Dropped when all lines before it are written.
-    Flush(SyncSender<()>),
-}
-
-/// Writes the queued lines when it is dropped, so that the reason for which the process ends is
-/// not lost with it.
-#[derive(Debug)]
-pub(crate) struct Flush {
-    lines: SyncSender<Entry>,
-}
-
-impl Drop for Flush {
-    fn drop(&mut self) {
-        let (written, is_written) = sync_channel(0);
-        if self.lines.try_send(Entry::Flush(written)).is_ok() {
-            // Ends with the sender, or with the timeout if nobody reads the lines.
-            let _ = is_written.recv_timeout(FLUSH_TIMEOUT);
-        }
-    }
-}
-
 /// Installs the logger for the process.
 ///
 /// # Errors
 ///
-/// Fails if a logger is installed already or the thread cannot be started.
-pub(crate) fn set_up(level: log::LevelFilter) -> Result<Flush, Failure> {
-    let (lines, queue) = sync_channel(QUEUE_CAPACITY);
-    let flush = Flush {
-        lines: lines.clone(),
-    };
-    let dropped = Arc::new(AtomicU64::new(0));
-    let queued = Arc::new(AtomicUsize::new(0));
-    let output = Output {
-        lines,
-        dropped: Arc::clone(&dropped),
-        queued: Arc::clone(&queued),
-    };
-    thread::Builder::new()
-        .name("log".to_owned())
-        .spawn(move || write(&queue, &dropped, &queued))?;
+/// Fails if a logger is installed already.
+pub(crate) fn set_up(level: log::LevelFilter) -> Result<Output, Failure> {
+    let output = Output::new(io::stdout(), report);
     let mut dispatch = fern::Dispatch::new()
         .format(|out, message, record| {
             out.finish(format_args!("{}", line(message, record)));
@@ -84,11 +34,12 @@
     for name in OWN_CRATES {
         dispatch = dispatch.level_for(name, log::LevelFilter::Trace);
     }
-    let output = fern::Output::call(move |record| output.send(format!("{}\n", record.args())));
-    dispatch.chain(output).apply()?;
+    let lines = output.clone();
+    let lines = fern::Output::call(move |record| lines.send(format!("{}\n", record.args())));
+    dispatch.chain(lines).apply()?;
     log::set_max_level(level);
     panic::set_hook(Box::new(log_panic));
-    Ok(flush)
+    Ok(output)
 }
 
 // A panic ends its task only, so that nothing but this line shows it.
@@ -98,27 +49,16 @@
     log::error!(location = location.as_deref(), reason; "panic");
 }
 
-fn write(queue: &Receiver<Entry>, dropped: &AtomicU64, queued: &AtomicUsize) {
-    let mut stdout = io::stdout().lock();
-    while let Ok(first) = queue.recv() {
-        let mut batch = Vec::new();
-        let mut flushes = Vec::new();
-        for entry in std::iter::once(first).chain(queue.try_iter().take(QUEUE_CAPACITY)) {
-            match entry {
-                Entry::Line(line) => batch.extend(line),
-                Entry::Flush(written) => flushes.push(written),
-            }
-        }
-        let taken = batch.len();
-        let count = dropped.swap(0, Ordering::Relaxed);
-        if count > 0 {
-            let line = json!({ "message": "log lines dropped", "count": count });
-            batch.extend(format!("{line}\n").into_bytes());
-        }
-        // A failure to write to standard output cannot be reported anywhere.
-        let _ = stdout.write_all(&batch).and_then(|()| stdout.flush());
-        queued.fetch_sub(taken, Ordering::Relaxed);
-    }
+fn report(gap: Gap) -> String {
+    let line = match gap {
+        Gap::Dropped(count) => json!({ "message": "log lines dropped", "count": count }),
+        Gap::Late { attempts, error } => json!({
+            "message": "the log could not be written",
+            "attempts": attempts,
+            "error": error.desc(),
+        }),
+    };
+    format!("{line}\n")
 }
 
 fn line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> Value {
@@ -152,31 +92,3 @@
         Ok(())
     }
 }
-
-/// Sender of lines to the writer thread; drops lines when the queue is full.
-#[derive(Debug)]
-struct Output {
-    lines: SyncSender<Entry>,
-    dropped: Arc<AtomicU64>,
-    /// Bytes of the lines that are not written yet.
-    queued: Arc<AtomicUsize>,
-}
-
-impl Output {
-    fn send(&self, line: String) {
-        if !self.try_send(line) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    fn try_send(&self, line: String) -> bool {
-        let bytes = line.len();
-        let queued = self.queued.fetch_add(bytes, Ordering::Relaxed);
-        let is_sent = queued + bytes <= QUEUE_BYTES
-            && self.lines.try_send(Entry::Line(line.into_bytes())).is_ok();
-        if !is_sent {
-            self.queued.fetch_sub(bytes, Ordering::Relaxed);
-        }
-        is_sent
-    }
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod gateway;
 mod json_log;
+mod log_output;
 mod open_files;
 mod signals;
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -16,7 +16,7 @@
 use crate::server;
 use crate::supervisor::{self, Task};
 use crate::{
-    Result, crash_check, discovery, environment_record, leader, memory_watch, mesh,
+    Result, crash_check, discovery, environment_record, leader, log_status, memory_watch, mesh,
     quarantine_record, report, stream_record, unlisted_check, version_record, watcher,
 };
 
@@ -87,6 +87,14 @@
         &self.gateway.settings
     }
 
+    /// Exports what `status` returns at each scrape of the metrics.
+    pub fn export_log_status(
+        &self,
+        status: impl Fn() -> log_status::Status + Clone + Send + Sync + 'static,
+    ) {
+        self.gateway.metrics.export_log_status(status);
+    }
+
     /// Whether this instance accepts requests of callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,7 @@
 use crate::memory::Budget;
 use crate::memory::resident::Resident;
 use crate::prediction::{Outcome, Prediction};
-use crate::{Result, id};
+use crate::{Result, id, log_status};
 
 const SECONDS_BOUNDS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0,
@@ -52,7 +52,7 @@
     memory: Gauge<u64>,
     memory_ended: Counter<u64>,
     resident: Gauge<u64>,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
 impl Metrics {
@@ -149,10 +149,39 @@
                 .with_boundaries(SECONDS_BOUNDS.to_vec())
                 .build(),
             registry,
-            _provider: provider,
+            provider,
         })
     }
 
+    /// Exports what `status` returns at each scrape.
+    pub fn export_log_status(
+        &self,
+        status: impl Fn() -> log_status::Status + Clone + Send + Sync + 'static,
+    ) {
+        let meter = self.provider.meter("almondbank");
+        let lost = status.clone();
+        meter
+            .u64_observable_counter("almondbank_log_lost_lines")
+            .with_description("Lines of the log that were dropped.")
+            .with_callback(move |observer| observer.observe(lost().lost_lines, &[]))
+            .build();
+        let waiting = status.clone();
+        meter
+            .u64_observable_gauge("almondbank_log_waiting_bytes")
+            .with_description("Bytes of lines of the log that are not written yet.")
+            .with_callback(move |observer| observer.observe(waiting().waiting_bytes, &[]))
+            .build();
+        meter
+            .u64_observable_counter("almondbank_log_failures")
+            .with_description("Failures to write the log, by error.")
+            .with_callback(move |observer| {
+                for (error, count) in status().failures {
+                    observer.observe(count, &[KeyValue::new("error", error)]);
+                }
+            })
+            .build();
+    }
+
     /// Counts a runner's response and records its latency.
     pub fn response(&self, route: &str, latency: Duration) {
         let labels = [KeyValue::new("route", route.to_owned())];
