Exit with the right code when an error cannot be printed

Cause: eprintln! and println! panic if they cannot write.

Evidence, on: an_error_that_cannot_be_printed_does_not_change_ the_exit_code fails, "left: Some(101) right: Some(3)".

Change: a failure to print the reason of an exit is ignored, and one to print what a command was asked for is an error, with exit code 1.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,7 +12,7 @@
 
 use crate::log_output::{Flush, Output};
 use crate::signals::{Signal, Signals};
-use crate::{Failure, json_log, open_files};
+use crate::{Failure, json_log, open_files, print};
 
 /// Name of the command on the command line.
 pub(crate) const COMMAND: &str = "gateway";
@@ -36,8 +36,7 @@
     let matches = options.parse(&arguments)?;
     if matches.opt_present("help") {
         let usage = "Usage: almondbank gateway [--settings FILE] [--check]";
-        print!("{}", options.usage(usage));
-        return Ok(());
+        return print(&options.usage(usage));
     }
     let path = matches
         .opt_str("settings")
@@ -47,13 +46,12 @@
     if matches.opt_present("check") {
         let settings = read(&path)?;
         for (earlier, later) in settings.listen.conflicts() {
-            println!(
-                "{}: warning: {later}: is the address of {earlier}",
-                path.display()
-            );
+            let path = path.display();
+            print(&format!(
+                "{path}: warning: {later}: is the address of {earlier}\n"
+            ))?;
         }
-        println!("{}: ok", path.display());
-        return Ok(());
+        return print(&format!("{}: ok\n", path.display()));
     }
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod open_files;
 mod signals;
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -43,6 +44,9 @@
             display("failed to start: {}", source)
             from()
         }
+        Print(source: std::io::Error) {
+            display("failed to print: {}", source)
+        }
         Daemon(source: almondbank::Error) {
             display("{}", source)
             from()
@@ -58,7 +62,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("almondbank: {failure}");
+            // The exit code remains, if nothing can be printed.
+            let _ = writeln!(io::stderr(), "almondbank: {failure}");
             ExitCode::from(match failure {
                 Failure::Usage(_) => EXIT_USAGE,
                 Failure::NoSettings(_) | Failure::Read(..) | Failure::Settings(..) => EXIT_SETTINGS,
@@ -79,15 +84,11 @@
     options.optflag("", "check", "check the settings and exit");
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     if arguments.iter().any(|a| a == "-h" || a == "--help") {
-        print!(
-            "{}",
-            options.usage("Usage: almondbank --settings FILE [--check]\n       almondbank gateway [--settings FILE] [--check]")
-        );
-        return Ok(());
+        let usage = "Usage: almondbank --settings FILE [--check]\n       almondbank gateway [--settings FILE] [--check]";
+        return print(&options.usage(usage));
     }
     if arguments.iter().any(|a| a == "-V" || a == "--version") {
-        println!("almondbank {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
+        return print(&format!("almondbank {}\n", env!("CARGO_PKG_VERSION")));
     }
     let matches = options.parse(&arguments)?;
     let path = matches.opt_str("settings").unwrap_or_default();
@@ -96,8 +97,7 @@
     let settings =
         settings::parse(&text).map_err(|error| Failure::Settings(path.clone(), error))?;
     if matches.opt_present("check") {
-        println!("{path}: ok");
-        return Ok(());
+        return print(&format!("{path}: ok\n"));
     }
     set_up_log(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -106,6 +106,15 @@
     runtime.block_on(serve(settings))
 }
 
+// `print!` panics if the output cannot be written.
+fn print(text: &str) -> Result<(), Failure> {
+    let mut stdout = io::stdout().lock();
+    let printed = stdout.write_all(text.as_bytes());
+    printed
+        .and_then(|()| stdout.flush())
+        .map_err(Failure::Print)
+}
+
 async fn serve(settings: settings::Settings) -> Result<(), Failure> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/daemon/tests/gateway_output.rs
+++ b/crates/daemon/tests/gateway_output.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::os::fd::OwnedFd;
 use std::path::Path;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use almondbank_emulator::caller::{self, Call, Connection};
@@ -178,3 +179,21 @@
     assert!(!requests_of(whole).is_empty());
     assert!(log.contains("the log could not be written"), "{log}");
 }
+
+#[tokio::test]
+async fn an_error_that_cannot_be_printed_does_not_change_the_exit_code() {
+    let full = || std::fs::File::options().write(true).open("/dev/full");
+    for (arguments, code) in [
+        (["gateway", "--settings", "absent.yaml"], 3),
+        (["gateway", "--absent", ""], 2),
+    ] {
+        let mut command = Command::new(BINARY);
+        command.args(arguments).stdout(Stdio::null());
+        let status = command.stderr(full().unwrap()).status().unwrap();
+        assert_eq!(status.code(), Some(code), "{arguments:?}");
+    }
+    let mut command = Command::new(BINARY);
+    command.arg("--version").stdout(full().unwrap());
+    let output = command.output().unwrap();
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+}
