Ignore signals without a use, with a line, and shut down on SIGQUIT

What callers saw: a gateway ended by SIGUSR1, SIGUSR2, SIGALRM, SIGSTKFLT, SIGXCPU, SIGVTALRM, SIGPROF, SIGIO, SIGPWR or SIGQUIT, with its requests and without a line.

Cause: they had no handler, and their default effect ends a process.

Change: all nine are handled and logged as SIGXFSZ is. SIGQUIT is a graceful shutdown, as SIGINT: it is only sent to make a process end, by a terminal or by a service manager, which ends a process that ignores it by force. Signals that report a fault of the program (SIGSEGV, SIGSYS and others), stop signals and real-time signals keep their effect.

Signals that the parent ignores were no fault.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -130,7 +130,7 @@
         let cause = tokio::select! {
             signal = signals.next() => match signal {
                 Signal::Hangup => "signal",
-                Signal::Terminate | Signal::Interrupt => return signal,
+                Signal::Terminate | Signal::Interrupt | Signal::Quit => return signal,
             },
             () = clock.sleep(SETTINGS_INTERVAL) => "file",
         };
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -10,7 +10,19 @@
 
 /// Signals that end a process by default and that mean nothing to this one. The kernel sends
 /// SIGXFSZ when a file, such as the log, reaches the limit on its size; the write then fails.
-const IGNORED: [signal::Signal; 1] = [signal::Signal::SIGXFSZ];
+/// Those that report a fault of the program, stop it or belong to its runtime keep their effect.
+const IGNORED: [signal::Signal; 10] = [
+    signal::Signal::SIGUSR1,
+    signal::Signal::SIGUSR2,
+    signal::Signal::SIGALRM,
+    signal::Signal::SIGSTKFLT,
+    signal::Signal::SIGXCPU,
+    signal::Signal::SIGXFSZ,
+    signal::Signal::SIGVTALRM,
+    signal::Signal::SIGPROF,
+    signal::Signal::SIGIO,
+    signal::Signal::SIGPWR,
+];
 
 /// A signal that was received.
 #[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
@@ -21,6 +33,9 @@
     /// The process is to end, as its terminal says.
     #[strum(serialize = "SIGINT")]
     Interrupt,
+    /// The process is to end, as its terminal or its service manager says.
+    #[strum(serialize = "SIGQUIT")]
+    Quit,
     /// The settings have changed.
     #[strum(serialize = "SIGHUP")]
     Hangup,
@@ -31,6 +46,7 @@
         match self {
             Self::Terminate => signal::Signal::SIGTERM,
             Self::Interrupt => signal::Signal::SIGINT,
+            Self::Quit => signal::Signal::SIGQUIT,
             Self::Hangup => signal::Signal::SIGHUP,
         }
     }
--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -1,12 +1,14 @@
 //! Gateway processes that meet a limit of the kernel or a signal.
 
 use std::path::Path;
+use std::process::ExitStatus;
 use std::time::Duration;
 
 use almondbank_emulator::caller::{Call, Connection};
 use almondbank_emulator::document;
 use almondbank_emulator::process::{Listener, Process};
 use almondbank_emulator::store::Store;
+use nix::sys::signal::Signal;
 use tokio::time;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_almondbank");
@@ -19,6 +21,20 @@
 /// Time that a process gets to end.
 const HOLD_TIME: Duration = Duration::from_millis(700);
 
+/// Signals that end a process by default and that a gateway has no use for.
+const UNUSED: [Signal; 10] = [
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+    Signal::SIGALRM,
+    Signal::SIGSTKFLT,
+    Signal::SIGXCPU,
+    Signal::SIGXFSZ,
+    Signal::SIGVTALRM,
+    Signal::SIGPROF,
+    Signal::SIGIO,
+    Signal::SIGPWR,
+];
+
 async fn store() -> Store {
     let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
@@ -73,3 +89,68 @@
     process.wait_ready(READY_TIMEOUT).await.unwrap();
     check_serving(&mut process).await;
 }
+
+async fn wait_ended(process: &mut Process) -> ExitStatus {
+    let ended = async {
+        loop {
+            if let Some(status) = process.ended().unwrap() {
+                return status;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    time::timeout(READY_TIMEOUT, ended).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_signal_without_a_use_leaves_a_line_and_does_not_end_a_process() {
+    let store = store().await;
+    let mut ends = Vec::new();
+    for signal in UNUSED {
+        let mut process = prepare(&store);
+        process.start(Path::new(BINARY)).unwrap();
+        process.wait_ready(READY_TIMEOUT).await.unwrap();
+        process.signal(signal).unwrap();
+        process.signal(signal).unwrap();
+        time::sleep(HOLD_TIME).await;
+        if let Some(status) = process.ended().unwrap() {
+            ends.push((signal, status));
+            continue;
+        }
+        let log = process.log().unwrap();
+        assert!(log.contains(signal.as_str()), "{signal}: {log}");
+        assert!(process.is_ready().await);
+    }
+    assert_eq!(ends, []);
+}
+
+#[tokio::test]
+async fn a_signal_to_quit_shuts_a_process_down() {
+    let store = store().await;
+    for signal in [Signal::SIGQUIT, Signal::SIGINT, Signal::SIGTERM] {
+        let mut process = prepare(&store);
+        process.start(Path::new(BINARY)).unwrap();
+        process.wait_ready(READY_TIMEOUT).await.unwrap();
+        process.signal(signal).unwrap();
+        let status = wait_ended(&mut process).await;
+        assert_eq!(status.code(), Some(0), "{signal}: {status}");
+        let log = process.log().unwrap();
+        assert!(log.contains(&format!("received {signal}")), "{log}");
+    }
+}
+
+#[tokio::test]
+async fn signals_that_the_parent_ignores_still_shut_a_process_down() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    process
+        .start_after(Path::new(BINARY), "trap '' HUP INT TERM XFSZ")
+        .unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    process.signal(Signal::SIGHUP).unwrap();
+    time::sleep(HOLD_TIME).await;
+    assert!(process.log().unwrap().contains("settings reloaded"));
+    process.signal(Signal::SIGTERM).unwrap();
+    let status = wait_ended(&mut process).await;
+    assert_eq!(status.code(), Some(0));
+}
