Unblock the signals that a gateway handles

What operators saw: a gateway whose parent had blocked SIGTERM never shut down, nor reloaded on SIGHUP, and was ended by force with its requests.

Cause: a process inherits the blocked signals of the thread that starts it, and none were unblocked.

Evidence, on the commit before: signals_that_the_parent_blocks_still_ shut_a_process_down fails, "Elapsed" after 20 s.

Change: each handled signal is unblocked after its handler is installed, before other threads start. A handler that the kernel rejects no longer ends the start; it is logged.

Result: the test passes.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -58,7 +58,7 @@
         .build()?;
     runtime.block_on(async {
         // Comes before all else that takes time: a signal without a handler ends the process.
-        let signals = Signals::install()?;
+        let signals = Signals::install();
         let output = json_log::set_up(log::LevelFilter::Info)?;
         let _flush = Flush(output.clone());
         tokio::spawn(output.clone().keep_writing(Arc::new(clock::System::new())));
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::task::Poll;
 
-use nix::sys::signal;
+use nix::sys::signal::{self, SigSet};
 use strum::{Display, EnumIter, IntoEnumIterator};
 use tokio::signal::unix::{self, SignalKind};
 
@@ -57,6 +57,8 @@
 pub(crate) struct Signals {
     handled: Vec<(Signal, unix::Signal)>,
     ignored: Vec<Ignored>,
+    /// Signals without a handler, or blocked, that are not logged yet.
+    failures: Vec<(signal::Signal, io::Error)>,
 }
 
 #[derive(Debug)]
@@ -67,29 +69,46 @@
 }
 
 impl Signals {
-    /// Installs the handlers. A signal is kept until it is waited for.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the kernel or the runtime rejects a handler.
-    pub(crate) fn install() -> io::Result<Self> {
-        let mut handled = Vec::new();
+    /// Installs the handlers, and unblocks their signals: a process starts with those blocked that
+    /// its parent had blocked. A signal is kept until it is waited for. One that the kernel or the
+    /// runtime rejects a handler for keeps its effect, which is logged.
+    pub(crate) fn install() -> Self {
+        let mut signals = Self {
+            handled: Vec::new(),
+            ignored: Vec::new(),
+            failures: Vec::new(),
+        };
         for signal in Signal::iter() {
-            handled.push((signal, handler(signal.number())?));
+            let handler = signals.handler(signal.number());
+            signals
+                .handled
+                .extend(handler.map(|handler| (signal, handler)));
         }
-        let mut ignored = Vec::new();
         for signal in IGNORED {
-            ignored.push(Ignored {
+            let handler = signals.handler(signal);
+            signals.ignored.extend(handler.map(|handler| Ignored {
                 signal,
-                handler: handler(signal)?,
+                handler,
                 received: 0,
-            });
+            }));
         }
-        Ok(Self { handled, ignored })
+        signals
+    }
+
+    fn handler(&mut self, signal: signal::Signal) -> Option<unix::Signal> {
+        // The numbers of signals are the discriminants of the enum.
+        let installed = unix::signal(SignalKind::from_raw(signal as i32));
+        let unblocked = SigSet::from(signal).thread_unblock();
+        let mut record = |error| self.failures.push((signal, error));
+        unblocked.map_err(|error| record(error.into())).ok();
+        installed.map_err(record).ok()
     }
 
     /// Waits for the next signal that means something to the process.
     pub(crate) async fn next(&mut self) -> Signal {
+        for (signal, error) in self.failures.drain(..) {
+            log::warn!(signal = signal.as_str(), error:% = error; "signal cannot be received");
+        }
         future::poll_fn(|context| {
             for ignored in &mut self.ignored {
                 while ignored.handler.poll_recv(context).is_ready() {
@@ -126,8 +145,3 @@
         }
     }
 }
-
-fn handler(signal: signal::Signal) -> io::Result<unix::Signal> {
-    // The numbers of signals are the discriminants of the enum.
-    unix::signal(SignalKind::from_raw(signal as i32))
-}
--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -8,7 +8,7 @@
 use almondbank_emulator::document;
 use almondbank_emulator::process::{Listener, Process};
 use almondbank_emulator::store::Store;
-use nix::sys::signal::Signal;
+use nix::sys::signal::{SigSet, SigmaskHow, Signal};
 use tokio::time;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_almondbank");
@@ -139,6 +139,20 @@
     }
 }
 
+// A child inherits the blocked signals of the thread that starts it.
+#[tokio::test]
+async fn signals_that_the_parent_blocks_still_shut_a_process_down() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    let before = SigSet::all().thread_swap_mask(SigmaskHow::SIG_SETMASK);
+    process.start(Path::new(BINARY)).unwrap();
+    before.unwrap().thread_set_mask().unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    process.signal(Signal::SIGTERM).unwrap();
+    let status = wait_ended(&mut process).await;
+    assert_eq!(status.code(), Some(0));
+}
+
 #[tokio::test]
 async fn signals_that_the_parent_ignores_still_shut_a_process_down() {
     let store = store().await;
