--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -10,8 +10,9 @@
 use getopts::Options;
 use tokio::runtime;
 
+use crate::log_output::{Flush, Output};
 use crate::signals::{Signal, Signals};
-use crate::{Failure, json_log, open_files};
+use crate::{Failure, json_log, open_files, print};
 
 /// Name of the command on the command line.
 pub(crate) const COMMAND: &str = "gateway";
@@ -35,8 +36,7 @@
     let matches = options.parse(&arguments)?;
     if matches.opt_present("help") {
         let usage = "Usage: almondbank gateway [--settings FILE] [--check]";
-        print!("{}", options.usage(usage));
-        return Ok(());
+        return print(&options.usage(usage));
     }
     let path = matches
         .opt_str("settings")
@@ -46,23 +46,24 @@
     if matches.opt_present("check") {
         let settings = read(&path)?;
         for (earlier, later) in settings.listen.conflicts() {
-            println!(
-                "{}: warning: {later}: is the address of {earlier}",
-                path.display()
-            );
+            let path = path.display();
+            print(&format!(
+                "{path}: warning: {later}: is the address of {earlier}\n"
+            ))?;
         }
-        println!("{}: ok", path.display());
-        return Ok(());
+        return print(&format!("{}: ok\n", path.display()));
     }
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     runtime.block_on(async {
         // Comes before all else that takes time: a signal without a handler ends the process.
-        let signals = Signals::install()?;
-        let _flush = json_log::set_up(log::LevelFilter::Info)?;
+        let signals = Signals::install();
+        let output = json_log::set_up(log::LevelFilter::Info)?;
+        let _flush = Flush(output.clone());
+        tokio::spawn(output.clone().keep_writing(Arc::new(clock::System::new())));
         log::info!(version = env!("CARGO_PKG_VERSION"), pid = std::process::id(); "starting");
-        let ended = serve(&path, signals).await;
+        let ended = serve(&path, signals, output).await;
         ended.inspect_err(|error| log::error!(error:% = error; "failed to start"))
     })
 }
@@ -92,7 +93,7 @@
     }
 }
 
-async fn serve(path: &Path, mut signals: Signals) -> Result<(), Failure> {
+async fn serve(path: &Path, mut signals: Signals, output: Output) -> Result<(), Failure> {
     let clock = clock::System::new();
     let settings = tokio::select! {
         settings = read_complete(path, &clock) => settings?,
@@ -109,6 +110,7 @@
     let ports = almondbank_platform::ports(&limited);
     let clock = Arc::clone(&ports.clock);
     let instance = Instance::start(limited, ports)?;
+    instance.export_log_status(move || output.status());
     let signal = follow_settings(&mut signals, settings, path, clock).await;
     log::info!("received {signal}; shutting down");
     instance.shutdown().await;
@@ -128,7 +130,7 @@
         let cause = tokio::select! {
             signal = signals.next() => match signal {
                 Signal::Hangup => "signal",
-                Signal::Terminate | Signal::Interrupt => return signal,
+                Signal::Terminate | Signal::Interrupt | Signal::Quit => return signal,
             },
             () = clock.sleep(SETTINGS_INTERVAL) => "file",
         };
