A gateway waits for its settings for as long as it takes

Seen: a process whose settings file was absent, unreadable, empty or not valid for more than 5 s ended with exit code 3. Its supervisor started it again, and it ended again after 5 s: an end by itself at each start.

Cause: reading was given up after SETTINGS_TIMEOUT, though what keeps the file from being valid passes without the process, and an end mends nothing.

Change: the file is read again each 100 ms until it is valid or SIGTERM or SIGINT comes. The reason is logged at once as a warning and each 10 s as an error.

a_process_that_cannot_start_leaves_a_log_line wanted a line before the end with exit code 3, which is gone. In its place, for six contents of the file and 11 s each: no end, no address held, both lines with the reason, ready within 3 s once the file is valid; and exit code 0 after a signal.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -21,10 +21,10 @@
 const SETTINGS_VARIABLE: &str = "ALMONDBANK_CONFIG";
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-/// Time after the start within which the settings file must be valid.
-const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time from one attempt to read the settings at the start to the next.
 const SETTINGS_RETRY: Duration = Duration::from_millis(100);
+/// Attempts from one log line to the next, 10 s.
+const ATTEMPTS_PER_REPORT: u32 = 100;
 
 pub(crate) fn run() -> Result<(), Failure> {
     let mut options = Options::new();
@@ -73,21 +73,22 @@
     gateway::parse(&text).map_err(|error| Failure::Settings(name(), error))
 }
 
-// Reads the settings. A file that is not valid may still be being written.
-async fn read_complete(path: &Path, clock: &dyn Clock) -> Result<Settings, Failure> {
-    let give_up_at = clock.now() + SETTINGS_TIMEOUT;
-    let mut is_reported = false;
+// Reads the settings once they are valid. A process that ended because they are not would end
+// again with each start, and a file that is not valid may still be being written.
+async fn read_complete(path: &Path, clock: &dyn Clock) -> Settings {
+    let mut attempts = 0_u32;
     loop {
-        let error = match read(path) {
-            Ok(settings) => return Ok(settings),
-            Err(error) => error,
-        };
-        if clock.now() >= give_up_at {
-            return Err(error);
-        }
-        if !std::mem::replace(&mut is_reported, true) {
-            log::warn!(error:% = error; "settings are not valid; reading them again");
+        match read(path) {
+            Ok(settings) => return settings,
+            Err(error) if attempts == 0 => {
+                log::warn!(error:% = error; "settings are not valid; reading them again");
+            }
+            Err(error) if attempts.is_multiple_of(ATTEMPTS_PER_REPORT) => {
+                log::error!(error:% = error; "settings are not valid; reading them again");
+            }
+            Err(_) => {}
         }
+        attempts = attempts.wrapping_add(1);
         clock.sleep(SETTINGS_RETRY).await;
     }
 }
@@ -95,7 +96,7 @@
 async fn serve(path: &Path, mut signals: Signals) -> Result<(), Failure> {
     let clock = clock::System::new();
     let settings = tokio::select! {
-        settings = read_complete(path, &clock) => settings?,
+        settings = read_complete(path, &clock) => settings,
         signal = signals.end() => {
             log::info!("received {signal} before the settings were complete");
             return Ok(());
