Values that are not needed to serve keep no gateway from starting

Seen: settings with `memory_mb: 32`, `cpu_share: 0`, `lease_ms: 0`, a time of 1e300 s, a number as text, a fraction where a whole number is wanted, a seed that is no address, an empty `max_files`, or a key of a later version were not valid as a whole, and the process did not start. The platform renders the same values at each start.

Cause: one check serves two purposes. `--check` is to report each mistake; a start needs only a name, the store and three addresses.

Change: `reading::read` takes the schema's findings one after the other. What is not needed gets the closest valid value or its default and is logged as a warning; a bound that is negative is 0, never wider than meant. Less memory than recommended is kept to, as the process would be ended at its limit. The last setting that is needed still shows that the file is complete, so that no cut is valid. `--check` stays as strict as before, but for `max_ttl_s: 0`, which means that callers keep no addresses.

Not accepted still: `.nan` and `.inf`, which JSON cannot hold, and a key that is there twice; the process waits and says so.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 use almondbank_gateway::Instance;
 use almondbank_port::clock::{self, Clock};
 use almondbank_wire::gateway::{self, Settings};
+use almondbank_wire::reading::{self, Reading};
 use getopts::Options;
 use tokio::runtime;
 
@@ -44,7 +45,7 @@
         .ok_or_else(|| Failure::NoSettings(SETTINGS_VARIABLE))?;
     let path = PathBuf::from(path);
     if matches.opt_present("check") {
-        let settings = read(&path)?;
+        let settings = check(&path)?;
         for (earlier, later) in settings.listen.conflicts() {
             println!(
                 "{}: warning: {later}: is the address of {earlier}",
@@ -67,10 +68,18 @@
     })
 }
 
-fn read(path: &Path) -> Result<Settings, Failure> {
-    let name = || path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| Failure::Read(name(), error))?;
-    gateway::parse(&text).map_err(|error| Failure::Settings(name(), error))
+fn read_text(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| Failure::Read(path.display().to_string(), error))
+}
+
+fn check(path: &Path) -> Result<Settings, Failure> {
+    let settings = gateway::parse(&read_text(path)?);
+    settings.map_err(|error| Failure::Settings(path.display().to_string(), error))
+}
+
+fn read(path: &Path) -> Result<Reading, Failure> {
+    let reading = reading::read(&read_text(path)?);
+    reading.map_err(|error| Failure::Settings(path.display().to_string(), error))
 }
 
 // Reads the settings once they are valid. A process that ended because they are not would end
@@ -79,7 +88,7 @@
     let mut attempts = 0_u32;
     loop {
         match read(path) {
-            Ok(settings) => return settings,
+            Ok(reading) => return report_findings(reading),
             Err(error) if attempts == 0 => {
                 log::warn!(error:% = error; "settings are not valid; reading them again");
             }
@@ -93,6 +102,16 @@
     }
 }
 
+fn report_findings(reading: Reading) -> Settings {
+    for finding in &reading.findings {
+        log::warn!(
+            setting = finding.path.as_str(), reason = finding.reason.as_str();
+            "setting is not valid; another value is used"
+        );
+    }
+    reading.settings
+}
+
 async fn serve(path: &Path, mut signals: Signals) -> Result<(), Failure> {
     let clock = clock::System::new();
     let settings = tokio::select! {
@@ -139,7 +158,8 @@
         }
         modified = latest;
         match read(path) {
-            Ok(new) => {
+            Ok(reading) => {
+                let new = report_findings(reading);
                 log::info!(cause, changed = new != settings; "settings reloaded");
                 log::set_max_level(new.log);
                 settings = new;
--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -131,6 +131,31 @@
     }
 }
 
+#[tokio::test]
+async fn values_that_are_not_needed_to_serve_do_not_prevent_a_start() {
+    let store = store().await;
+    for line in [
+        "memory_mb: 32",
+        "memory_mb: 260.5",
+        "cpu_share: 0",
+        "lease_ms: 0",
+        "retry_ratio: \"0.2\"",
+        "load_window_s: -1",
+        "grace_s: 1e300",
+        "log: loud",
+        "later_setting: 1",
+    ] {
+        let mut process = Process::new().unwrap();
+        let settings = format!("{line}\n{}", process.settings(store.address()));
+        std::fs::write(process.settings_path(), settings).unwrap();
+        process.start(Path::new(BINARY)).unwrap();
+        process
+            .wait_ready(REACTION_TIME)
+            .await
+            .unwrap_or_else(|error| panic!("{line}: {error}"));
+    }
+}
+
 #[tokio::test]
 async fn a_check_of_settings_with_a_mistake_fails() {
     let store = store().await;
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -143,88 +143,95 @@
     type Error = Error;
 
     fn try_from(raw: raw::Gateway) -> Result<Self> {
-        let mut findings = Vec::new();
-        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut address = |path: &str, text: &str| {
-            text.parse().unwrap_or_else(|_| {
-                findings.push(Finding::new(path, "is not an IP address and port"));
-                unset
-            })
-        };
-        let listen = Listen {
-            callers: address("/callers_listen", &raw.callers_listen),
-            ready: address("/ready_listen", &raw.ready_listen),
-            peers: address("/peers_listen", &raw.peers_listen),
-            directory: address("/directory_listen", &raw.directory_listen),
-            metrics: address("/metrics_listen", &raw.metrics_listen),
-        };
-        let store = address("/store", &raw.store);
-        let seeds = raw
-            .seeds
-            .iter()
-            .enumerate()
-            .map(|(at, text)| address(&format!("/seeds/{at}"), text))
-            .collect();
-        let log = raw.log.parse().unwrap_or_else(|_| {
-            findings.push(Finding::new("/log", "is not a log level"));
-            log::LevelFilter::Info
-        });
-        findings.extend(lower_bound_findings(&raw));
-        for (earlier, later) in listen.conflicts() {
-            if later != METRICS_PATH {
-                findings.push(Finding::new(later, format!("is the address of {earlier}")));
-            }
-        }
-        let mut time = |path: &str, time: Duration| {
-            if time > MAX_TIME {
-                findings.push(Finding::new(path, "is too long"));
-            }
-            time
-        };
-        let lease = time("/lease_ms", Duration::from_millis(raw.lease_ms));
-        let reconcile_window = time("/reconcile_ms", Duration::from_millis(raw.reconcile_ms));
-        let grace = time("/grace_s", seconds(raw.grace_s));
-        let retry_window = time("/retry_window_s", seconds(raw.retry_window_s));
-        let quota_window = time("/quota_window_s", seconds(raw.quota_window_s));
-        let load_window = time("/load_window_s", seconds(raw.load_window_s));
-        let max_directory_ttl = time("/max_ttl_s", seconds(raw.max_ttl_s));
-        if raw.instance.is_empty() {
-            findings.push(Finding::new("/instance", "is empty"));
-        }
+        let (settings, findings) = checked(raw);
         if !findings.is_empty() {
             return Err(Code::Findings(findings).into());
         }
-        Ok(Self {
-            instance: raw.instance,
-            data_centre: raw.data_centre,
-            listen,
-            store,
-            seeds,
-            max_files: usize::try_from(raw.max_files).unwrap_or(usize::MAX),
-            memory: usize::try_from(raw.memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX),
-            cpu_share: raw.cpu_share,
-            checks_fencing: raw.checks_fencing,
-            lease,
-            grace,
-            reconcile_window,
-            retry: Retry {
-                ratio: raw.retry_ratio,
-                window: retry_window,
-                extra: raw.retry_extra,
-            },
-            quota: Quota {
-                window: quota_window,
-                overage: raw.quota_overage,
-                slack: raw.quota_slack,
-            },
-            load: Load {
-                window: load_window,
-                overage: raw.load_overage,
-            },
-            max_directory_ttl,
-            log,
+        Ok(settings)
+    }
+}
+
+// Returns the settings, and the findings that make them invalid.
+pub(crate) fn checked(raw: raw::Gateway) -> (Settings, Vec<Finding>) {
+    let mut findings = Vec::new();
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    let mut address = |path: &str, text: &str| {
+        text.parse().unwrap_or_else(|_| {
+            findings.push(Finding::new(path, "is not an IP address and port"));
+            unset
         })
+    };
+    let listen = Listen {
+        callers: address("/callers_listen", &raw.callers_listen),
+        ready: address("/ready_listen", &raw.ready_listen),
+        peers: address("/peers_listen", &raw.peers_listen),
+        directory: address("/directory_listen", &raw.directory_listen),
+        metrics: address("/metrics_listen", &raw.metrics_listen),
+    };
+    let store = address("/store", &raw.store);
+    let seeds = raw
+        .seeds
+        .iter()
+        .enumerate()
+        .map(|(at, text)| address(&format!("/seeds/{at}"), text))
+        .collect();
+    let log = raw.log.parse().unwrap_or_else(|_| {
+        findings.push(Finding::new("/log", "is not a log level"));
+        log::LevelFilter::Info
+    });
+    findings.extend(lower_bound_findings(&raw));
+    for (earlier, later) in listen.conflicts() {
+        if later != METRICS_PATH {
+            findings.push(Finding::new(later, format!("is the address of {earlier}")));
+        }
+    }
+    let mut time = |path: &str, time: Duration| {
+        if time > MAX_TIME {
+            findings.push(Finding::new(path, "is too long"));
+        }
+        time
+    };
+    let lease = time("/lease_ms", Duration::from_millis(raw.lease_ms));
+    let reconcile_window = time("/reconcile_ms", Duration::from_millis(raw.reconcile_ms));
+    let grace = time("/grace_s", seconds(raw.grace_s));
+    let retry_window = time("/retry_window_s", seconds(raw.retry_window_s));
+    let quota_window = time("/quota_window_s", seconds(raw.quota_window_s));
+    let load_window = time("/load_window_s", seconds(raw.load_window_s));
+    let max_directory_ttl = time("/max_ttl_s", seconds(raw.max_ttl_s));
+    if raw.instance.is_empty() {
+        findings.push(Finding::new("/instance", "is empty"));
     }
+    let settings = Settings {
+        instance: raw.instance,
+        data_centre: raw.data_centre,
+        listen,
+        store,
+        seeds,
+        max_files: usize::try_from(raw.max_files).unwrap_or(usize::MAX),
+        memory: usize::try_from(raw.memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX),
+        cpu_share: raw.cpu_share,
+        checks_fencing: raw.checks_fencing,
+        lease,
+        grace,
+        reconcile_window,
+        retry: Retry {
+            ratio: raw.retry_ratio,
+            window: retry_window,
+            extra: raw.retry_extra,
+        },
+        quota: Quota {
+            window: quota_window,
+            overage: raw.quota_overage,
+            slack: raw.quota_slack,
+        },
+        load: Load {
+            window: load_window,
+            overage: raw.load_overage,
+        },
+        max_directory_ttl,
+        log,
+    };
+    (settings, findings)
 }
 
 // Negative times are reported by their own check.
@@ -247,7 +254,7 @@
         ("/quota_slack", raw.quota_slack >= 0.0),
         ("/load_window_s", raw.load_window_s > 0.0),
         ("/load_overage", raw.load_overage > 0.0),
-        ("/max_ttl_s", raw.max_ttl_s > 0.0),
+        ("/max_ttl_s", raw.max_ttl_s >= 0.0),
     ];
     lower_bounds
         .into_iter()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod problem;
 pub mod rank;
+pub mod reading;
 pub mod row;
 pub mod settings;
 pub mod table;
--- a/crates/wire/src/yaml.rs
+++ b/crates/wire/src/yaml.rs
@@ -40,7 +40,7 @@
     check(value, schema)
 }
 
-fn read(text: &str) -> Result<Value> {
+pub(crate) fn read(text: &str) -> Result<Value> {
     let options = serde_saphyr::options! {
         budget: serde_saphyr::budget! {
             max_nodes: MAX_NODES,
@@ -52,7 +52,7 @@
     Ok(value)
 }
 
-fn check<T: DeserializeOwned>(value: Value, schema: &str) -> Result<T> {
+pub(crate) fn check<T: DeserializeOwned>(value: Value, schema: &str) -> Result<T> {
     let findings = validate(&value, schema)?;
     if !findings.is_empty() {
         return Err(Code::Findings(findings).into());
@@ -62,7 +62,7 @@
 }
 
 // Turns a number such as 260.0 into the integer.
-fn make_whole(value: &mut Value) {
+pub(crate) fn make_whole(value: &mut Value) {
     let number = value.as_f64().filter(|number| number.fract() == 0.0);
     let whole = number.and_then(|number| format!("{number:.0}").parse::<u64>().ok());
     if let (Some(whole), true) = (whole, value.is_f64()) {
