--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 use almondbank_gateway::Instance;
 use almondbank_port::clock::{self, Clock};
 use almondbank_wire::gateway::{self, Settings};
+use almondbank_wire::reading::{self, Reading};
 use getopts::Options;
 use tokio::runtime;
 
@@ -22,10 +23,10 @@
 const SETTINGS_VARIABLE: &str = "ALMONDBANK_CONFIG";
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-/// Time after the start within which the settings file must be valid.
-const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time from one attempt to read the settings at the start to the next.
 const SETTINGS_RETRY: Duration = Duration::from_millis(100);
+/// Attempts from one log line to the next, 10 s.
+const ATTEMPTS_PER_REPORT: u32 = 100;
 
 pub(crate) fn run() -> Result<(), Failure> {
     let mut options = Options::new();
@@ -44,7 +45,7 @@
         .ok_or_else(|| Failure::NoSettings(SETTINGS_VARIABLE))?;
     let path = PathBuf::from(path);
     if matches.opt_present("check") {
-        let settings = read(&path)?;
+        let settings = check(&path)?;
         for (earlier, later) in settings.listen.conflicts() {
             let path = path.display();
             print(&format!(
@@ -68,35 +69,54 @@
     })
 }
 
-fn read(path: &Path) -> Result<Settings, Failure> {
-    let name = || path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| Failure::Read(name(), error))?;
-    gateway::parse(&text).map_err(|error| Failure::Settings(name(), error))
+fn read_text(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| Failure::Read(path.display().to_string(), error))
 }
 
-// Reads the settings. A file that is not valid may still be being written.
-async fn read_complete(path: &Path, clock: &dyn Clock) -> Result<Settings, Failure> {
-    let give_up_at = clock.now() + SETTINGS_TIMEOUT;
-    let mut is_reported = false;
+fn check(path: &Path) -> Result<Settings, Failure> {
+    let settings = gateway::parse(&read_text(path)?);
+    settings.map_err(|error| Failure::Settings(path.display().to_string(), error))
+}
+
+fn read(path: &Path) -> Result<Reading, Failure> {
+    let reading = reading::read(&read_text(path)?);
+    reading.map_err(|error| Failure::Settings(path.display().to_string(), error))
+}
+
+// Reads the settings once they are valid. A process that ended because they are not would end
+// again with each start, and a file that is not valid may still be being written.
+async fn read_complete(path: &Path, clock: &dyn Clock) -> Settings {
+    let mut attempts = 0_u32;
     loop {
-        let error = match read(path) {
-            Ok(settings) => return Ok(settings),
-            Err(error) => error,
-        };
-        if clock.now() >= give_up_at {
-            return Err(error);
-        }
-        if !std::mem::replace(&mut is_reported, true) {
-            log::warn!(error:% = error; "settings are not valid; reading them again");
+        match read(path) {
+            Ok(reading) => return report_findings(reading),
+            Err(error) if attempts == 0 => {
+                log::warn!(error:% = error; "settings are not valid; reading them again");
+            }
+            Err(error) if attempts.is_multiple_of(ATTEMPTS_PER_REPORT) => {
+                log::error!(error:% = error; "settings are not valid; reading them again");
+            }
+            Err(_) => {}
         }
+        attempts = attempts.wrapping_add(1);
         clock.sleep(SETTINGS_RETRY).await;
     }
 }
 
+fn report_findings(reading: Reading) -> Settings {
+    for finding in &reading.findings {
+        log::warn!(
+            setting = finding.path.as_str(), reason = finding.reason.as_str();
+            "setting is not valid; another value is used"
+        );
+    }
+    reading.settings
+}
+
 async fn serve(path: &Path, mut signals: Signals, output: Output) -> Result<(), Failure> {
     let clock = clock::System::new();
     let settings = tokio::select! {
-        settings = read_complete(path, &clock) => settings?,
+        settings = read_complete(path, &clock) => settings,
         signal = signals.end() => {
             log::info!("received {signal} before the settings were complete");
             return Ok(());
@@ -140,7 +160,8 @@
         }
         modified = latest;
         match read(path) {
-            Ok(new) => {
+            Ok(reading) => {
+                let new = report_findings(reading);
                 log::info!(cause, changed = new != settings; "settings reloaded");
                 log::set_max_level(new.log);
                 settings = new;
