Test a start whose threads the kernel refuses

What callers saw before: exit code 1 at once, "Resource temporarily unavailable", at each start while the limit on the threads of the user was reached by anything else of that user.

Evidence: with the sources of the test fails, "the process ended with exit status: 1: almondbank: failed to start: Resource temporarily unavailable (os error 11)".

--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -35,6 +35,11 @@
     Signal::SIGPWR,
 ];
 
+/// Interval at which a process tries to start the thread of its log, twice.
+const THREAD_TIME: Duration = Duration::from_secs(2);
+/// More threads than the user has who runs the process.
+const MANY_THREADS: u32 = 4096;
+
 async fn store() -> Store {
     let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
@@ -168,3 +173,17 @@
     let status = wait_ended(&mut process).await;
     assert_eq!(status.code(), Some(0));
 }
+
+#[tokio::test]
+async fn a_kernel_that_refuses_threads_does_not_keep_a_process_from_serving() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    process.start_with_threads(Path::new(BINARY), 0).unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    check_serving(&mut process).await;
+    assert_eq!(process.log().unwrap(), "");
+    process.limit_threads(MANY_THREADS).unwrap();
+    time::sleep(THREAD_TIME).await;
+    let log = process.log().unwrap();
+    assert!(log.contains("\"starting\""), "{log}");
+}
