Raise a low soft limit of open files before the runtime starts

What callers saw: exit code 1, "Too many open files", at each start with a soft limit of 8 open files, whatever the hard limit.

Cause: the limit was raised once the settings were read, and the runtime opens files before.

Change: the soft limit is raised to 256 first, then to max_files.

Result: the test passes.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -53,6 +53,7 @@
         }
         return print(&format!("{}: ok\n", path.display()));
     }
+    open_files::raise_for_start();
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/daemon/src/open_files.rs
+++ b/crates/daemon/src/open_files.rs
@@ -2,6 +2,14 @@
 
 use nix::sys::resource::{self, Resource};
 
+/// Files that a process may open before it has read its settings.
+const START_FILES: usize = 256;
+
+/// Raises the limit to what a start needs.
+pub(crate) fn raise_for_start() {
+    raise_limit(START_FILES);
+}
+
 /// Raises the limit to `wanted`, or as far as the kernel allows. Returns how many files the
 /// process may open, at most `wanted`.
 pub(crate) fn raise_limit(wanted: usize) -> usize {
--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -40,6 +40,9 @@
 /// More threads than the user has who runs the process.
 const MANY_THREADS: u32 = 4096;
 
+/// Fewer files than a process opens before it reads its settings.
+const FEW_FILES: u32 = 8;
+
 async fn store() -> Store {
     let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
@@ -187,3 +190,14 @@
     let log = process.log().unwrap();
     assert!(log.contains("\"starting\""), "{log}");
 }
+
+#[tokio::test]
+async fn a_low_soft_limit_of_open_files_does_not_keep_a_process_from_starting() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    process
+        .start_with_files(Path::new(BINARY), FEW_FILES)
+        .unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    check_serving(&mut process).await;
+}
