A gateway reads the registrations until it has them once

Seen: a process that started while its first reads of the store failed and five peers were in reach was never ready, also when the store was well again, as long as no runner had registered.

Cause: an instance that is no follower of the registrations stops reading them, also if its first read failed. Peers send their list only once it is newer than revision 0. Neither side then sends the list that readiness waits for.

Evidence: a_first_read_that_fails_beside_peers_does_not_keep_a_process_ without_runners_from_being_ready, on the code before: not ready 20 s after the store was back; last lines `stopped following the registrations in the store`, `dependency restored` (environment).

Change: an instance stops following only once it has the list.

Ruled out by the other tests of the file, which pass before and after: a store that resets, stalls in either direction, closes, or answers 429, 503 (both with retry-after 3600), 404, 409, 410, 500, 301, 204, an empty table or list, no JSON, a part or no HTTP for the first 10 s; documents that are empty, cut, binary, malformed or without a version for 10 s; seeds that are gone, silent or other software; a frozen peer, without and with a quota; 20 starts at once; 25 ms of each 100 ms.

A store whose answers take 1.2 s or longer for good (600 ms each way) is not covered: each call times out at 1.2 s, and the process is never ready.

--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -88,7 +88,8 @@
             REGISTRATIONS_PAUSE
         };
         gateway.clock.sleep(pause).await;
-        if !is_follower(&gateway) {
+        // Peers send the list only once they know of a runner.
+        if !is_follower(&gateway) && gateway.registry.is_loaded() {
             log::info!("stopped following the registrations in the store");
             gateway.follows.store(false, Ordering::Relaxed);
             // Those that follow can read it.
