Changes of registrations are merged only after a first list

Seen by reading, shown by a unit test: an instance that has no list yet merges the first change that a peer sends (`after` 0), and with it the peer's revision. The complete list of that revision is then not newer, is refused, and the instance is never ready if the store rejects it.

Evidence: changes_before_the_first_list_are_not_merged failed before the change (`assertion failed: registry.merge(registrations(None), ..)`).

Change: a change that follows on nothing is not merged without a list. The instance counts as behind then and requests the list.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -177,7 +177,7 @@
                 self.advance_revision(registry.revision);
                 true
             }
-            Some(after) if after <= newest => {
+            Some(after) if after <= newest && (newest > 0 || self.is_loaded()) => {
                 let removed = registry.removed.into_iter();
                 let removed = removed.map(|entry| Change::Removed(entry.runner, entry.revision));
                 let put = registry.registrations.into_iter().map(Box::new);
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -183,6 +183,21 @@
     assert_eq!(usable(&registry, second(1)), 1);
 }
 
+// Guards against an instance that is never ready: a later list of a peer would not be newer.
+#[test]
+fn changes_before_the_first_list_are_not_merged() {
+    let registry = Registry::new(RECONCILE);
+    let registrations = |after| mesh::Registry {
+        after,
+        revision: 7,
+        registrations: vec![entry("t", 7)],
+        removed: Vec::new(),
+    };
+    registry.merge(registrations(Some(0)), second(1));
+    assert!(registry.merge(registrations(None), second(1)));
+    assert!(registry.is_loaded());
+}
+
 #[test]
 fn a_runner_that_lacks_a_model_gets_no_requests_for_it_for_a_while() {
     let registry = Registry::new(RECONCILE);
