Listen on IPv6 addresses

Seen: a listener with an IPv6 address in the settings was never bound, and the process never ready.

Cause: `tcp::listen` opened an IPv4 socket for any address.

--- a/crates/daemon/tests/gateway_start.rs
+++ b/crates/daemon/tests/gateway_start.rs
@@ -196,3 +196,50 @@
     let ready = time::timeout(HOLD_TIME, process.is_ready()).await;
     assert_eq!(ready, Ok(true), "{}", process.log().unwrap());
 }
+
+// The address of the documentation range is of no machine.
+#[tokio::test]
+async fn an_address_of_another_machine_keeps_only_its_listener_from_serving() {
+    let store = store().await;
+    for listener in [Listener::Metrics, Listener::Directory, Listener::Callers] {
+        let mut process = Process::new().unwrap();
+        let address = process.address(listener).to_string();
+        let settings = process.settings(store.address());
+        let settings = settings.replace(&address, "192.0.2.1:7000");
+        std::fs::write(process.settings_path(), settings).unwrap();
+        process.start(Path::new(BINARY)).unwrap();
+        if listener == Listener::Callers {
+            wait_listening(&process, Listener::Ready).await;
+            check_running(&mut process).await;
+            assert!(!process.is_ready().await);
+        } else {
+            process.wait_ready(READY_TIMEOUT).await.unwrap();
+        }
+        let log = process.log().unwrap();
+        assert!(log.contains("cannot listen"), "{listener}: {log}");
+    }
+}
+
+// On a machine without IPv6 the log says so.
+#[tokio::test]
+async fn an_ipv6_address_is_listened_on() {
+    let store = store().await;
+    let free = TcpListener::bind("[::1]:0").and_then(|listener| listener.local_addr());
+    let address = free
+        .as_ref()
+        .map_or("[::1]:7000".to_owned(), ToString::to_string);
+    let mut process = Process::new().unwrap();
+    let callers = process.address(Listener::Callers).to_string();
+    let settings = process.settings(store.address());
+    let settings = settings.replace(&callers, &format!("\"{address}\""));
+    std::fs::write(process.settings_path(), settings).unwrap();
+    process.start(Path::new(BINARY)).unwrap();
+    if free.is_ok() {
+        process.wait_ready(READY_TIMEOUT).await.unwrap();
+        TcpStream::connect(address).await.unwrap();
+    } else {
+        check_running(&mut process).await;
+        let log = process.log().unwrap();
+        assert!(log.contains("cannot listen"), "{log}");
+    }
+}
--- a/crates/gateway/src/tcp.rs
+++ b/crates/gateway/src/tcp.rs
@@ -59,7 +59,10 @@
 ///
 /// Fails if the address cannot be bound.
 pub fn listen(address: SocketAddr, receive_buffer: Option<u32>) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
     socket.set_reuseaddr(true)?;
     // Connections inherit it; set later, it would not bound the window.
     if let Some(bytes) = receive_buffer {
