An address that stays unavailable is logged as an error

Seen: a process whose address for callers stays taken, belongs to another machine or is not allowed is alive and not ready for good, and says so with the same warning that a restart gives for a moment.

It goes on trying, as an address may be assigned or freed later. No metric: a process that is not bound where its metrics are read has none, and readiness answers 503 meanwhile.

Evidence: an_address_that_stays_taken_is_reported_as_an_error failed before (second line `warn`). The test of late settings waits for its second line instead of a fixed time, so that a slow machine does not change its verdict.

--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -18,8 +18,8 @@
 /// Time for which the file is incomplete.
 const WRITE_TIME: Duration = Duration::from_millis(300);
 const CONNECTIONS: usize = 200;
-/// Time for which settings are not valid, in which two lines are to be logged.
-const WAIT_TIME: Duration = Duration::from_secs(11);
+/// Time for which settings are not valid.
+const WAIT_TIME: Duration = Duration::from_secs(8);
 /// Time in which a process is to start once its settings are valid, or to end after a signal.
 const REACTION_TIME: Duration = Duration::from_secs(3);
 
@@ -56,22 +56,30 @@
     store
 }
 
-// Checks that the process has reported why it waits, at once and then as an error.
-fn check_reports(process: &Process) {
+// Levels of the log lines that say why the process waits.
+fn levels(process: &Process) -> Vec<String> {
     let log = process.log().unwrap();
     let lines = log
         .lines()
         .map(|line| serde_json::from_str(line).unwrap_or_default());
     let is_report = |line: &serde_json::Value| {
         let reason = line["error"].as_str().unwrap_or_default();
-        line["message"]
-            .as_str()
-            .is_some_and(|text| text.starts_with("settings are not valid"))
+        line["message"] == "settings are not valid; reading them again"
             && reason.contains("entry.yaml")
     };
-    let reports: Vec<_> = lines.filter(is_report).collect();
-    let levels: Vec<_> = reports.iter().map(|line| line["level"].as_str()).collect();
-    assert_eq!(levels, [Some("warn"), Some("error")], "{log}");
+    let reports = lines.filter(is_report);
+    reports.map(|line| line["level"].to_string()).collect()
+}
+
+// Checks that the process reports why it waits, at once and then as an error.
+async fn check_reports(process: &Process) {
+    let reporting = async {
+        while levels(process).len() < 2 {
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    time::timeout(READY_TIMEOUT, reporting).await.unwrap();
+    assert_eq!(levels(process), ["\"warn\"", "\"error\""]);
 }
 
 async fn check_late_settings(content: Content, store: std::net::SocketAddr) {
@@ -90,7 +98,7 @@
         let connection = TcpStream::connect(process.address(listener)).await;
         assert!(connection.is_err(), "{content:?}: {listener}");
     }
-    check_reports(&process);
+    check_reports(&process).await;
     let path = process.settings_path();
     if matches!(content, Content::Directory) {
         std::fs::remove_dir(&path).unwrap();
--- a/crates/daemon/tests/gateway_start.rs
+++ b/crates/daemon/tests/gateway_start.rs
@@ -197,6 +197,32 @@
     assert_eq!(ready, Ok(true), "{}", process.log().unwrap());
 }
 
+// A warning may be of the moment of a restart; the process is in need of an operator after that.
+#[tokio::test]
+async fn an_address_that_stays_taken_is_reported_as_an_error() {
+    let store = store().await;
+    let mut process = prepare(&store);
+    let _taken = TcpListener::bind(process.address(Listener::Callers)).unwrap();
+    process.start(Path::new(BINARY)).unwrap();
+    let levels = || {
+        let log = process.log().unwrap();
+        let lines = log
+            .lines()
+            .map(|line| serde_json::from_str(line).unwrap_or_default());
+        let reports = lines.filter(|line: &serde_json::Value| line["listener"] == "callers");
+        reports
+            .map(|line| line["level"].to_string())
+            .collect::<Vec<_>>()
+    };
+    let reporting = async {
+        while levels().len() < 2 {
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    time::timeout(READY_TIMEOUT, reporting).await.unwrap();
+    assert_eq!(levels(), ["\"warn\"", "\"error\""]);
+}
+
 // The address of the documentation range is of no machine.
 #[tokio::test]
 async fn an_address_of_another_machine_keeps_only_its_listener_from_serving() {
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -41,7 +41,7 @@
             bound: OnceLock::new(),
         };
         if let Err(error) = listener.bind() {
-            listener.report(&error);
+            listener.report(log::Level::Warn, &error);
         }
         listener
     }
@@ -79,15 +79,17 @@
                         "listening"
                     );
                 }
-                Err(error) if attempts.is_multiple_of(ATTEMPTS_PER_REPORT) => self.report(&error),
+                Err(error) if attempts.is_multiple_of(ATTEMPTS_PER_REPORT) => {
+                    self.report(log::Level::Error, &error);
+                }
                 Err(_) => {}
             }
         }
     }
 
-    fn report(&self, error: &io::Error) {
-        log::warn!(
-            listener:% = self.purpose, address:% = self.address, error:% = error;
+    fn report(&self, level: log::Level, error: &io::Error) {
+        log::log!(
+            level, listener:% = self.purpose, address:% = self.address, error:% = error;
             "cannot listen; trying again"
         );
     }
