--- a/crates/daemon/tests/gateway_start_dependencies.rs
+++ b/crates/daemon/tests/gateway_start_dependencies.rs
@@ -256,6 +256,52 @@
     }
 }
 
+#[tokio::test]
+async fn a_newer_document_that_is_malformed_does_not_keep_a_process_beside_a_peer_from_being_ready()
+{
+    let store = store(&document::desired(1, &["m"])).await;
+    let mut peer = start(store.address(), "entry-0", &[]);
+    peer.wait_ready(READY_TIMEOUT).await.unwrap();
+    let mut malformed = document::desired(2, &["m"]);
+    malformed["routes"] = json!("none");
+    store.put("op", "config", malformed.to_string().as_bytes());
+    let seeds = [peer.address(Listener::Peers)];
+    let mut process = start(store.address(), "entry-1", &seeds);
+    let elapsed = recovery("newer document", &mut process).await;
+    assert!(elapsed < 2 * RECOVERY_TIME, "{elapsed:?}");
+}
+
+#[tokio::test]
+async fn rows_that_cannot_be_read_do_not_keep_a_process_from_being_ready() {
+    let rows = [
+        ("servers", "runner"),
+        ("almondbank", "env/main/lease"),
+        ("almondbank", "env/main/software"),
+        ("almondbank", "env/main/environment"),
+        ("almondbank", "env/main/environment-part/000000"),
+        ("almondbank", "env/main/quarantine"),
+        ("almondbank", "env/main/streams/entry-0"),
+        ("almondbank", "env/main/member/entry-0"),
+        ("almondbank", "env/main/member/entry-1"),
+    ];
+    let contents: [(&str, &[u8]); 5] = [
+        ("empty", b""),
+        ("binary", &[0xff; 100]),
+        ("text", b"text"),
+        ("table", b"writer\n{}"),
+        ("list", b"writer\n[[]]"),
+    ];
+    for (name, content) in contents {
+        let store = store(&document::desired(1, &["m"])).await;
+        for (table, key) in rows {
+            store.put(table, key, content);
+        }
+        let mut process = start(store.address(), "entry-1", &[]);
+        let elapsed = recovery(name, &mut process).await;
+        assert!(elapsed < RECOVERY_TIME, "{name}: {elapsed:?}");
+    }
+}
+
 // Peers that read the registrations have none to send.
 #[tokio::test]
 async fn a_first_read_that_fails_beside_peers_does_not_keep_a_process_without_runners_from_being_ready()
