--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -152,15 +152,46 @@
         "grace_s: 1e300",
         "log: loud",
         "later_setting: 1",
+        "max_files: 1",
+        "max_files: 1e30",
+        "memory_mb: 1",
+        "memory_mb: 1e30",
+        "cpu_share: 1e300",
+        "cpu_share: 1e-300",
+        "lease_ms: 1",
+        "lease_ms: 31536000000",
+        "reconcile_ms: 31536000000",
+        "grace_s: 1e-300",
+        "grace_s: 31536000",
+        "retry_ratio: 1e300",
+        "retry_extra: 1e300",
+        "retry_window_s: 1e-300",
+        "retry_window_s: 31536000",
+        "quota_window_s: 1e-300",
+        "quota_window_s: 31536000",
+        "quota_overage: 1e300",
+        "quota_slack: 1e300",
+        "load_window_s: 1e-300",
+        "load_window_s: 31536000",
+        "load_overage: 1e300",
+        "load_overage: 1e-300",
+        "max_ttl_s: 0",
     ] {
         let mut process = Process::new().unwrap();
-        let settings = format!("{line}\n{}", process.settings(store.address()));
+        let (name, _) = line.split_once(':').unwrap();
+        let settings = process.settings(store.address());
+        let others = settings.lines().filter(|other| !other.starts_with(name));
+        let settings = others.fold(format!("{line}\n"), |text, other| text + other + "\n");
         std::fs::write(process.settings_path(), settings).unwrap();
         process.start(Path::new(BINARY)).unwrap();
         process
-            .wait_ready(REACTION_TIME)
+            .wait_ready(READY_TIMEOUT)
             .await
             .unwrap_or_else(|error| panic!("{line}: {error}"));
+        time::sleep(WRITE_TIME).await;
+        let log = process.log().unwrap();
+        assert!(process.is_ready().await, "{line}: {log}");
+        assert!(!log.contains("panic"), "{line}: {log}");
     }
 }
 
