Gateways measure how late tasks run, and say whether a task or the machine was the cause

Nothing showed that the one thread of a gateway was held up: no line, no metric. A reader of the logs could not tell a task that does not yield from a machine that gives no processor.

The check that runs each 250 ms now compares its time with the one at which it was due: `almondbank_lag_seconds` (longest since the last scrape), `almondbank_stalls_total{cause}` and the line `tasks ran late` (once in 10 s at most), with the processor time that the process used meanwhile. Against its share of a core that tells `task` from `machine`. It costs one getrusage four times a second.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod id;
 pub mod in_flight;
 pub mod join;
+pub mod lag;
 pub mod members;
 pub mod memory;
 pub mod notice;
--- a/crates/gateway/src/memory_watch.rs
+++ b/crates/gateway/src/memory_watch.rs
@@ -1,13 +1,15 @@
-//! Closes connections that wait too long, and reports who was evicted or refused and when the
-//! memory of the process nears its limit.
+//! Closes connections that wait too long, and reports who was evicted or refused, when the memory
+//! of the process nears its limit, and how late tasks run.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::environment::Limits;
 use crate::gateway::Gateway;
+use crate::lag;
 use crate::memory::connections::Timeouts;
 use crate::memory::resident::Resident;
+use crate::span::millis;
 
 /// Precision of the timeouts of connections.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -22,11 +24,13 @@
     let mut counted = memory.ended();
     let mut reported = counted;
     let mut was_near = false;
+    let mut lag = lag::Monitor::new(INTERVAL, gateway.now(), lag::processor_time());
     for check in 1_u32.. {
         tokio::select! {
             () = gateway.stopped.cancelled() => return,
             () = gateway.clock.sleep(INTERVAL) => {}
         }
+        check_lag(&gateway, &mut lag);
         let environment = gateway.environment();
         let limits = environment.map_or_else(Limits::default, |environment| environment.limits);
         let timeouts = Timeouts {
@@ -58,6 +62,22 @@
     }
 }
 
+fn check_lag(gateway: &Gateway, monitor: &mut lag::Monitor) {
+    let check = monitor.check(gateway.now(), lag::processor_time());
+    let share = gateway.settings.cpu_share;
+    gateway.metrics.lag(check.lag);
+    if let Some(stall) = check.stall {
+        gateway.metrics.stall(stall.cause(share).into());
+    }
+    if let Some(lag::Report { longest, stalls }) = check.report {
+        let cause: &'static str = longest.cause(share).into();
+        log::warn!(
+            lag_ms = millis(longest.lag), processor_ms = millis(longest.processor), cause, stalls;
+            "tasks ran late"
+        );
+    }
+}
+
 // Logs that the resident memory has come near its limit, or is no longer near it. Returns whether
 // it is near.
 fn report_resident(gateway: &Gateway, was_near: bool) -> bool {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     memory: Gauge<u64>,
     memory_ended: Counter<u64>,
     resident: Gauge<u64>,
+    lag: Gauge<f64>,
+    /// Longest one since the metrics were last read.
+    longest_lag: Arc<Mutex<Duration>>,
+    stalls: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -131,6 +135,17 @@
                 .u64_gauge("almondbank_resident_bytes")
                 .with_description("Resident memory of the process: now, and the peak.")
                 .build(),
+            lag: meter
+                .f64_gauge("almondbank_lag_seconds")
+                .with_description(
+                    "Longest time by which a task ran late since the metrics were last read.",
+                )
+                .build(),
+            longest_lag: Arc::default(),
+            stalls: counter(
+                "almondbank_stalls",
+                "Times for which no task ran that was due, by cause.",
+            ),
             memory_ended: counter(
                 "almondbank_memory_ended",
                 "Connections and bodies that were evicted or refused, by kind.",
@@ -262,6 +277,17 @@
         KeyValue::new("tenant", name.to_owned())
     }
 
+    /// Records by how much a task ran late.
+    pub fn lag(&self, lag: Duration) {
+        let mut longest = self.longest_lag.lock();
+        *longest = lag.max(*longest);
+    }
+
+    /// Counts a time for which no task ran that was due.
+    pub fn stall(&self, cause: &'static str) {
+        self.stalls.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts connections or bodies that were evicted or refused.
     pub fn memory_ended(&self, kind: &'static str, count: u64) {
         self.memory_ended.add(count, &[KeyValue::new("kind", kind)]);
@@ -294,6 +320,8 @@
                 self.resident.record(bytes, &[KeyValue::new("kind", kind)]);
             }
         }
+        let lag = std::mem::take(&mut *self.longest_lag.lock());
+        self.lag.record(lag.as_secs_f64(), &[]);
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .inspect_err(|error| log::warn!(error:% = error; "failed to encode the metrics"))
