A planning round weighs each runner's evictions once, not once for each model to place

What callers saw: with hundreds of models and runners, the leader answered nothing for seconds. All tasks of a gateway share one thread, and a planning round is one piece of work without a wait in it.

Cause: for each pair of a model and a runner, the round computed the free memory of the runner (over all models of the service), the cost of each model that it holds, and their order again. None of these depends on the model to place, and none changes in a round.

Now each runner's room, with its sorted candidates, is computed once for a round.

--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -4,11 +4,14 @@
 //! store. Replicas are therefore treated as a cache over the copies on disk and
 //! in host memory, and a replica is evicted for a model in higher demand.
 
+mod room;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::id;
+use crate::planner::room::{Candidate, Eviction, Room};
 use crate::replica_index::Index;
 pub use crate::runner_view::{Runner, Tier};
 use crate::service::{Engine, Model};
@@ -98,10 +101,12 @@
     let mut round = Round {
         view,
         index: Index::new(&view.runners),
+        rooms: BTreeMap::new(),
         store_loads: view.store_loads,
         assigned: BTreeSet::new(),
         decisions: Vec::new(),
     };
+    round.rooms = round.rooms();
     round.load_reserved();
     for model in round.models_to_place() {
         round.place_model(&model);
@@ -112,6 +117,7 @@
 struct Round<'a> {
     view: &'a View<'a>,
     index: Index<'a>,
+    rooms: BTreeMap<&'a str, Room<'a>>,
     store_loads: usize,
     /// Runners that get no further decision in this round.
     assigned: BTreeSet<&'a str>,
@@ -127,15 +133,6 @@
     cost: f64,
 }
 
-/// Models that are evicted from one runner to make room for another one.
-#[derive(Debug, Default)]
-struct Eviction<'a> {
-    /// In the order in which they are unloaded; empty if enough memory is free.
-    victims: Vec<&'a str>,
-    /// Cost of unloading them, in requests per second.
-    cost: f64,
-}
-
 impl<'a> Round<'a> {
     fn model(&self, name: &str) -> Option<&'a Model> {
         self.view.engine.models.get(name)
@@ -156,7 +153,8 @@
     // Continues the placements that earlier rounds began: unloads the next model, or
     // loads the new one once enough memory is free.
     fn load_reserved(&mut self) {
-        for (name, runner) in &self.view.runners {
+        let view = self.view;
+        for (name, runner) in &view.runners {
             let Some(model) = &runner.reserved_for else {
                 continue;
             };
@@ -164,7 +162,8 @@
                 continue;
             }
             self.assigned.insert(name);
-            let eviction = self.eviction(runner, model);
+            let room = self.rooms.get(name.as_str());
+            let eviction = room.and_then(|room| room.eviction(self.size_mb(model)));
             let victim = eviction
                 .as_ref()
                 .and_then(|eviction| eviction.victims.first());
@@ -234,18 +233,23 @@
         let demand = self.demand(model);
         let is_waited_for = self.is_waited_for(model);
         let may_use_store = self.store_loads > 0 && self.may_use_store(model);
-        let options = self.view.runners.iter().filter_map(|(name, runner)| {
+        let size_mb = self.size_mb(model);
+        let options = self.rooms.iter().filter_map(|(&name, room)| {
+            let runner = room.runner;
+            let is_taken = self.assigned.contains(name) || runner.is_busy;
+            if is_taken || runner.is_limited {
+                return None;
+            }
             let holds = runner.provides(model) || runner.models.contains(model);
-            let is_taken = self.assigned.contains(name.as_str()) || runner.is_busy;
-            if is_taken || holds || runner.is_limited {
+            if holds {
                 return None;
             }
             let tier = runner.tier(model);
             if tier == Tier::Store && !may_use_store {
                 return None;
             }
-            let eviction = self.eviction(runner, model)?;
-            let cost = eviction.cost + self.adapter_cost(runner, model, tier);
+            let eviction = room.eviction(size_mb)?;
+            let cost = eviction.cost + self.adapter_cost(room, model, tier);
             let is_worthwhile = (is_waited_for && eviction.cost <= self.max_cost(model))
                 || eviction.victims.is_empty()
                 || cost * EVICTION_HYSTERESIS <= demand.rate;
@@ -286,14 +290,16 @@
     // acceptable cost, or that is busy with a load from the store, cannot.
     fn has_usable_copy(&self, model: &str) -> bool {
         self.has_copy(model)
-            && self.view.runners.values().any(|runner| {
+            && self.rooms.values().any(|room| {
+                let runner = room.runner;
+                if runner.is_limited || runner.tier(model) == Tier::Store {
+                    return false;
+                }
                 let loading = runner.loading.as_deref();
                 let is_loading_from_store =
                     loading.is_some_and(|loading| runner.tier(loading) == Tier::Store);
-                let eviction = self.eviction(runner, model);
-                runner.tier(model) != Tier::Store
-                    && !runner.is_limited
-                    && !is_loading_from_store
+                let eviction = room.eviction(self.size_mb(model));
+                !is_loading_from_store
                     && eviction.is_some_and(|eviction| eviction.cost <= self.max_cost(model))
             })
     }
@@ -326,58 +332,35 @@
         });
     }
 
-    // Returns the cheapest eviction found that makes room for `successor`, or `None`
-    // if no set of models that nobody waits for frees enough memory.
-    fn eviction<'b>(&self, runner: &'b Runner, successor: &str) -> Option<Eviction<'b>> {
-        let mut missing = self.size_mb(successor) - self.free_mb(runner);
-        if missing <= 0.0 {
-            return Some(Eviction::default());
-        }
-        let mut candidates: Vec<_> = runner
+    fn rooms(&self) -> BTreeMap<&'a str, Room<'a>> {
+        let adapters_mb = self.adapters_mb();
+        let runners = self.view.runners.iter();
+        runners
+            .map(|(name, runner)| (name.as_str(), self.room(runner, adapters_mb)))
+            .collect()
+    }
+
+    // Models that requests wait for are not evicted.
+    fn room(&self, runner: &'a Runner, adapters_mb: f64) -> Room<'a> {
+        let held = runner.models.iter().chain(&runner.loading);
+        let weights: f64 = held.map(|model| self.size_mb(model)).sum();
+        let candidates = runner
             .models
             .iter()
             .filter(|model| runner.is_draining(model) || self.demand(model).waiting == 0)
-            .map(|model| (self.eviction_cost(runner, model), model.as_str()))
-            .collect();
-        candidates.sort_by(|(a_cost, a), (b_cost, b)| {
-            let is_draining = runner.is_draining(b).cmp(&runner.is_draining(a));
-            is_draining.then(a_cost.total_cmp(b_cost))
-        });
-        let single = candidates
-            .iter()
-            .find(|(_, model)| self.size_mb(model) >= missing)
-            .map(|(cost, model)| Eviction {
-                victims: vec![*model],
-                cost: *cost,
+            .map(|model| Candidate {
+                model,
+                cost: self.eviction_cost(runner, model),
+                size_mb: self.size_mb(model),
             });
-        // The cheapest models that free enough together, without those that the
-        // later, larger ones make unnecessary.
-        let mut chosen = Vec::new();
-        for (cost, model) in candidates {
-            if missing <= 0.0 {
-                break;
-            }
-            missing -= self.size_mb(model);
-            chosen.push((cost, model));
-        }
-        if missing > 0.0 {
-            return None;
-        }
-        for index in (0..chosen.len()).rev() {
-            let size = self.size_mb(chosen[index].1);
-            if missing + size <= 0.0 {
-                missing += size;
-                chosen.remove(index);
-            }
-        }
-        let several = Eviction {
-            cost: chosen.iter().map(|(cost, _)| cost).sum(),
-            victims: chosen.into_iter().map(|(_, model)| model).collect(),
+        let mut room = Room {
+            runner,
+            free_mb: self.view.engine.memory_mb - weights - adapters_mb,
+            candidates: candidates.collect(),
+            adapter_rate: self.adapter_rate(runner),
         };
-        match single {
-            Some(single) if single.cost <= several.cost => Some(single),
-            _ => Some(several),
-        }
+        room.sort();
+        room
     }
 
     // Cost of unloading `model`, in requests per second. It is lower if the
@@ -405,15 +388,19 @@
             + delaying * REQUEST_COST
     }
 
-    // Requests whose adapter orders the runner rejects during the load of `model`.
-    fn adapter_cost(&self, runner: &Runner, model: &str, tier: Tier) -> f64 {
+    fn adapter_rate(&self, runner: &Runner) -> f64 {
         let has_adapters = |model: &&id::Model| {
             let model = self.model(model);
             model.is_some_and(|model| model.adapters > 0)
         };
         let held = runner.models.iter().filter(has_adapters);
-        let rate: f64 = held.map(|model| self.demand(model).rate).sum();
-        rate * ADAPTER_ORDER_SHARE * self.load_time(model, tier).as_secs_f64()
+        held.map(|model| self.demand(model).rate).sum()
+    }
+
+    // Requests whose adapter orders the runner rejects during the load of `model`.
+    fn adapter_cost(&self, room: &Room<'_>, model: &str, tier: Tier) -> f64 {
+        let load_time = self.load_time(model, tier).as_secs_f64();
+        room.adapter_rate * ADAPTER_ORDER_SHARE * load_time
     }
 
     fn load_time(&self, model: &str, tier: Tier) -> Duration {
@@ -431,18 +418,11 @@
         self.model(model).map_or(0.0, |model| model.memory_mb)
     }
 
-    // Memory that weights do not use, less the room for a full set of adapters.
-    fn free_mb(&self, runner: &Runner) -> f64 {
-        let held = runner.models.iter().chain(&runner.loading);
-        let weights: f64 = held.map(|model| self.size_mb(model)).sum();
+    // Room for a full set of adapters.
+    fn adapters_mb(&self) -> f64 {
         let slots = f64::from(u32::try_from(self.view.engine.adapter_slots).unwrap_or(u32::MAX));
-        let largest = self
-            .view
-            .engine
-            .models
-            .values()
-            .map(|model| model.adapter_mb)
-            .fold(0.0, f64::max);
-        self.view.engine.memory_mb - weights - slots * largest
+        let models = self.view.engine.models.values();
+        let largest = models.map(|model| model.adapter_mb).fold(0.0, f64::max);
+        slots * largest
     }
 }
