Share signals and the output of the log with the daemon

What operators saw: a daemon ended by SIGHUP, SIGUSR1 and the like, by SIGXFSZ with its log at the limit on the size of files, and by a panic with exit code 101 with its outputs on a full disk.

Cause: it had handlers of its own for SIGTERM and SIGINT only, println! panics if it cannot write, and so does fern if standard error fails.

Change: the daemon uses signals.rs, log_output.rs with standard error, the first limit of open files, and goes on if it cannot print its addresses.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,7 +14,9 @@
 use almondbank_wire::settings;
 use getopts::Options;
 use quick_error::quick_error;
-use tokio::signal::unix::{SignalKind, signal};
+
+use crate::log_output::{Flush, Gap, Output};
+use crate::signals::Signals;
 
 const EXIT_USAGE: u8 = 2;
 const EXIT_SETTINGS: u8 = 3;
@@ -99,11 +101,18 @@
     if matches.opt_present("check") {
         return print(&format!("{path}: ok\n"));
     }
-    set_up_log(&settings.log)?;
+    open_files::raise_for_start();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(async {
+        let signals = Signals::install();
+        let output = set_up_log(&settings.log)?;
+        let _flush = Flush(output.clone());
+        let clock = Arc::new(clock::System::new());
+        tokio::spawn(output.keep_writing(clock));
+        serve(settings, signals).await
+    })
 }
 
 // `print!` panics if the output cannot be written.
@@ -115,15 +124,15 @@
         .map_err(Failure::Print)
 }
 
-async fn serve(settings: settings::Settings) -> Result<(), Failure> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+async fn serve(settings: settings::Settings, mut signals: Signals) -> Result<(), Failure> {
     let clock = Arc::new(clock::System::new());
     let daemon = almondbank::Daemon::start(settings, clock).await?;
-    println!("callers={} peers={}", daemon.callers(), daemon.peers());
+    let addresses = format!("callers={} peers={}\n", daemon.callers(), daemon.peers());
+    if let Err(error) = print(&addresses) {
+        log::warn!("{error}");
+    }
     tokio::select! {
-        _ = terminate.recv() => log::info!("received SIGTERM; shutting down"),
-        _ = interrupt.recv() => log::info!("received SIGINT; shutting down"),
+        signal = signals.end() => log::info!("received {signal}; shutting down"),
         () = daemon.leaving() => log::info!("leaving; shutting down"),
     }
     daemon.shutdown().await;
@@ -131,7 +140,9 @@
     Ok(())
 }
 
-fn set_up_log(level: &str) -> Result<(), log::SetLoggerError> {
+fn set_up_log(level: &str) -> Result<Output, log::SetLoggerError> {
+    let output = Output::new(io::stderr(), report);
+    let lines = output.clone();
     let level = level.parse().unwrap_or(log::LevelFilter::Info);
     fern::Dispatch::new()
         .format(|out, message, record| {
@@ -151,6 +162,18 @@
         .level_for("almondbank_control", level)
         .level_for("almondbank_serving", level)
         .level_for("almondbank_port", level)
-        .chain(std::io::stderr())
-        .apply()
+        .chain(fern::Output::call(move |record| {
+            lines.send(format!("{}\n", record.args()));
+        }))
+        .apply()?;
+    Ok(output)
+}
+
+fn report(gap: Gap) -> String {
+    match gap {
+        Gap::Dropped(count) => format!("log lines dropped: {count}\n"),
+        Gap::Late { attempts, error } => {
+            format!("the log could not be written ({attempts} attempts): {error}\n")
+        }
+    }
 }
