--- a/crates/daemon/src/json_log.rs
+++ b/crates/daemon/src/json_log.rs
@@ -8,7 +8,8 @@
 use serde_json::{Map, Value, json};
 
 use crate::Failure;
-use crate::log_output::{Gap, Output};
+use crate::log_output::Output;
+use crate::log_writer::Gap;
 
 /// Crates that log at the configured level; all others log warnings and errors.
 const OWN_CRATES: [&str; 5] = [
--- a/crates/daemon/src/log_output.rs
+++ b/crates/daemon/src/log_output.rs
@@ -2,55 +2,32 @@
 //!
 //! A thread writes the lines from a bounded queue, so that a slow reader does not
 //! block the tasks that log. Lines that do not fit, by their number or their bytes, are
-//! dropped; a later line holds their count. What cannot be written is tried again: a disk may
-//! be full for a time, and a limit may be raised.
+//! dropped; a later line holds their count.
 
-use std::collections::BTreeMap;
 use std::os::fd::AsFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread;
 use std::time::Duration;
 
 use almondbank_gateway::log_status;
 use almondbank_port::clock::Clock;
-use nix::errno::Errno;
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
-use nix::unistd;
 use parking_lot::Mutex;
 
+use crate::log_writer::{Counts, Entry, Report, Writer};
+
 /// Capacity of the queue, in lines.
 const QUEUE_CAPACITY: usize = 4096;
 /// Capacity of the queue, in bytes. Callers choose the length of some fields.
 const QUEUE_BYTES: usize = 2 << 20;
 /// Longest time for which the end of the process waits until its last lines are written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time from a failure to write to the next attempt.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from one attempt to start the thread to the next, in which lines wait in the queue.
 const THREAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Name, in the metrics, of a failure to start the thread.
 const NO_THREAD: &str = "no_thread";
 
-/// Formats the line that reports what was not written.
-pub(crate) type Report = fn(Gap) -> String;
-
-/// What went wrong before a line.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Gap {
-    /// Lines were dropped.
-    Dropped(u64),
-    /// Lines were written late, after `attempts` that failed, the last one with `error`.
-    Late { attempts: u64, error: Errno },
-}
-
-enum Entry {
-    Line(Vec<u8>),
-    /// Dropped when all lines before it are written.
-    Flush(SyncSender<()>),
-}
-
 /// Sender of lines to the writer thread. Clones share it.
 #[derive(Clone)]
 pub(crate) struct Output {
@@ -65,31 +42,12 @@
     counts: Arc<Counts>,
 }
 
-#[derive(Default)]
-struct Counts {
-    lost_lines: AtomicU64,
-    waiting_bytes: AtomicUsize,
-    failures: Mutex<BTreeMap<String, u64>>,
-}
-
-impl Counts {
-    fn fail(&self, error: String) {
-        *self.failures.lock().entry(error).or_default() += 1;
-    }
-}
-
 impl Output {
     /// Starts to write to `file`. If the kernel refuses the thread, lines wait in the queue.
     pub(crate) fn new(file: impl AsFd + Send + 'static, report: Report) -> Self {
         let (lines, queue) = sync_channel(QUEUE_CAPACITY);
         let counts = Arc::<Counts>::default();
-        let writer = Writer {
-            file: Box::new(file),
-            queue,
-            report,
-            counts: Arc::clone(&counts),
-            reported: 0,
-        };
+        let writer = Writer::new(file, queue, report, Arc::clone(&counts));
         let shared = Shared {
             lines,
             writer: Mutex::new(writer),
@@ -173,89 +131,3 @@
         }
     }
 }
-
-struct Writer {
-    file: Box<dyn AsFd + Send>,
-    queue: Receiver<Entry>,
-    report: Report,
-    counts: Arc<Counts>,
-    /// Dropped lines that a line has reported.
-    reported: u64,
-}
-
-impl Writer {
-    fn run(&mut self) {
-        while let Ok(first) = self.queue.recv() {
-            let mut batch = Vec::new();
-            let mut flushes = Vec::new();
-            for entry in std::iter::once(first).chain(self.queue.try_iter().take(QUEUE_CAPACITY)) {
-                match entry {
-                    Entry::Line(line) => batch.extend(line),
-                    Entry::Flush(written) => flushes.push(written),
-                }
-            }
-            let taken = batch.len();
-            let lost = self.counts.lost_lines.load(Ordering::Relaxed);
-            if lost > self.reported {
-                batch.extend((self.report)(Gap::Dropped(lost - self.reported)).into_bytes());
-                self.reported = lost;
-            }
-            if let Some(gap) = self.write(batch) {
-                self.write((self.report)(gap).into_bytes());
-            }
-            let waiting = &self.counts.waiting_bytes;
-            waiting.fetch_sub(taken, Ordering::Relaxed);
-        }
-    }
-
-    // Writes whole lines, however long it takes. Returns whether they are late.
-    fn write(&self, mut lines: Vec<u8>) -> Option<Gap> {
-        let mut written = 0;
-        let mut attempts = 0;
-        let mut last_error = None;
-        while written < lines.len() {
-            // A file that takes nothing without an error is as good as full.
-            let error = match unistd::write(&*self.file, &lines[written..]) {
-                Ok(0) => Errno::ENOSPC,
-                Ok(count) => {
-                    written += count;
-                    continue;
-                }
-                Err(Errno::EINTR) => continue,
-                Err(Errno::EAGAIN) => {
-                    self.wait_writable();
-                    continue;
-                }
-                Err(error) => error,
-            };
-            attempts += 1;
-            last_error = Some(error);
-            self.counts.fail(format!("{error:?}"));
-            restart_line(&mut lines, written);
-            written = 0;
-            thread::sleep(RETRY_INTERVAL);
-        }
-        last_error.map(|error| Gap::Late { attempts, error })
-    }
-
-    fn wait_writable(&self) {
-        let timeout = PollTimeout::try_from(RETRY_INTERVAL).unwrap_or(PollTimeout::MAX);
-        let mut files = [PollFd::new(self.file.as_fd(), PollFlags::POLLOUT)];
-        // Without poll(2), waits for as long as it would at most.
-        if poll(&mut files, timeout).is_err() {
-            thread::sleep(RETRY_INTERVAL);
-        }
-    }
-}
-
-// Removes the lines that were written. One that was cut is written again, as the file may have
-// been truncated or replaced since, on a line of its own.
-fn restart_line(lines: &mut Vec<u8>, written: usize) {
-    let done = &lines[..written];
-    let start = done.iter().rposition(|byte| *byte == b'\n');
-    let start = start.map_or(0, |position| position + 1);
-    lines.drain(..start);
-    if written > start {
-        lines.insert(0, b'\n');
-    }
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod gateway;
 mod json_log;
 mod log_output;
+mod log_writer;
 mod open_files;
 mod signals;
 
@@ -15,7 +16,8 @@
 use getopts::Options;
 use quick_error::quick_error;
 
-use crate::log_output::{Flush, Gap, Output};
+use crate::log_output::{Flush, Output};
+use crate::log_writer::Gap;
 use crate::signals::Signals;
 
 const EXIT_USAGE: u8 = 2;
