--- a/crates/daemon/tests/gateway_soak.rs
+++ b/crates/daemon/tests/gateway_soak.rs
@@ -7,6 +7,7 @@
 const SEED: u64 = 20_261_204;
 const FAULTS: usize = 6;
 const START_SEED: u64 = 93_002;
+const LIMIT_SEED: u64 = 95_101;
 
 // With seed 148, the emulated engine responded to a stream request without events
 // while its behaviour was `DuplicateResponse`, and the gateway forwarded the response
@@ -53,3 +54,10 @@
     plan.has_start_faults = true;
     check(plan).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_gateway_ends_by_itself_or_is_busy_without_requests_under_limits_of_its_machine() {
+    let mut plan = plan(LIMIT_SEED);
+    plan.has_limits = true;
+    check(plan).await;
+}
