What the kernel holds at the sockets of a gateway is part of its memory

Callers saw connections that broke: a process beyond the memory of its machine is ended. Bytes that are received and not read, and written and not acknowledged, count toward that limit; the accounting didn't see them. Accepted sockets had 128 KiB for unread bytes (24 KiB were counted for a connection in all), send buffers grew to 4 MB, and sockets to runners, links and the store had no bound at all (32 MiB by tcp_rmem).

When callers that don't read hold more than is left of it, those that have not read for longest are closed. The sum of the parts stays 0.90. Links, the store and orders have 192 KiB each way.

New metrics: the part `sockets`, and the pages of TCP buffers on the machine where the kernel tells.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -19,10 +19,6 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Attempts from one log line to the next, 10 s.
 const ATTEMPTS_PER_REPORT: u32 = 50;
-/// Receive buffer of an accepted connection, in bytes, which the kernel doubles. What callers
-/// send while nothing is read counts toward the memory of the machine. A body of the usual size,
-/// up to 55 KB, fits.
-const RECEIVE_BUFFER: u32 = 64 << 10;
 
 /// A listener that is bound, or is to be bound once its address is available.
 #[derive(Debug)]
@@ -93,8 +89,7 @@
     }
 
     fn bind(&self) -> io::Result<()> {
-        let receive_buffer = (self.purpose != Purpose::Peers).then_some(RECEIVE_BUFFER);
-        let bound = tcp::listen(self.address, receive_buffer)?;
+        let bound = tcp::listen(self.address)?;
         self.bound.get_or_init(|| Arc::new(bound));
         Ok(())
     }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -9,6 +9,7 @@
 pub mod connections;
 pub mod ended;
 pub mod head;
+pub mod machine;
 pub mod outlet;
 pub mod part;
 pub mod progress;
@@ -30,9 +31,12 @@
 
 /// Percentage of the process's memory for code, registrations and the environment. All parts
 /// leave 10 % for fragmentation, and for the old buffer while that of a body grows.
-pub const STATE_PERCENT: usize = 30;
-/// Percentage for accepted connections.
-pub const CONNECTIONS_PERCENT: usize = 16;
+pub const STATE_PERCENT: usize = 18;
+/// Percentage for accepted connections, with the receive buffers that they begin with.
+pub const CONNECTIONS_PERCENT: usize = 20;
+/// Percentage for what the kernel holds besides: larger receive buffers, and the buffers of
+/// responses that callers do not read.
+pub const SOCKETS_PERCENT: usize = 8;
 /// Percentage for requests and their bodies.
 pub const REQUESTS_PERCENT: usize = 36;
 /// Percentage that bodies beyond [`SMALL_BODY`] may use of it.
@@ -68,7 +72,11 @@
         Self {
             bodies: Arc::new(Bodies::new(bodies)),
             responses: Responses::new(responses),
-            connections: Arc::new(Connections::new(part(CONNECTIONS_PERCENT), max_files)),
+            connections: Arc::new(Connections::new(
+                part(CONNECTIONS_PERCENT),
+                part(SOCKETS_PERCENT),
+                max_files,
+            )),
         }
     }
 
@@ -85,9 +93,10 @@
 
     /// Returns the bytes that are held by part.
     #[must_use]
-    pub fn held(&self) -> [(&'static str, usize); 3] {
+    pub fn held(&self) -> [(&'static str, usize); 4] {
         [
             ("connections", self.connections.held()),
+            ("sockets", self.connections.held_in_sockets()),
             ("requests", self.bodies.held()),
             ("responses", self.responses.held()),
         ]
--- a/crates/gateway/src/memory/connections.rs
+++ b/crates/gateway/src/memory/connections.rs
@@ -2,16 +2,27 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
 use tokio_util::sync::CancellationToken;
 
+use super::part::Part;
+use crate::tcp;
+
 /// Memory of a connection without its requests and responses, in bytes: the buffers of the HTTP
-/// library and the task. Idle ones took 20 KB, those with a head of 16 KB 31 KB.
-const BYTES_PER_CONNECTION: usize = 24 << 10;
+/// library, the task, and its receive buffer. Without the last one, idle ones took 20 KB, those
+/// with a head of 16 KB 31 KB.
+const BYTES_PER_CONNECTION: usize = (24 << 10) + KERNEL_FACTOR * tcp::ACCEPTED.receive;
+/// The kernel doubles the sizes of buffers.
+const KERNEL_FACTOR: usize = 2;
+/// Memory that a larger receive buffer takes besides.
+const BYTES_OF_GROWTH: usize = KERNEL_FACTOR * (tcp::GROWN.receive - tcp::ACCEPTED.receive);
+/// Memory of a response that is not read, besides its queue: the send buffer, which takes a whole
+/// segment of the largest size, and the receive buffer of the connection to its runner.
+const BYTES_PER_BLOCKED: usize = (64 << 10) + KERNEL_FACTOR * tcp::OPENED.receive;
 /// Descriptors reserved for everything except accepted connections. Runners, peers and the store
 /// need about 500 in the largest deployment.
 const RESERVED_FILES: usize = 600;
@@ -83,6 +94,10 @@
 #[derive(Debug)]
 pub struct Connections {
     most: usize,
+    /// Larger receive buffers.
+    growth: Part,
+    /// Bytes for larger receive buffers and for responses that are not read.
+    sockets: usize,
     inner: Mutex<Inner>,
     count: AtomicUsize,
     evicted: AtomicU64,
@@ -114,17 +129,21 @@
     purpose: Purpose,
     id: u64,
     state: Arc<State>,
+    has_grown: AtomicBool,
 }
 
 impl Connections {
     /// Creates a table for as many connections as `memory` bytes and `max_files` descriptors
-    /// allow.
+    /// allow. Larger buffers in the kernel may take `sockets` bytes.
     #[must_use]
-    pub fn new(memory: usize, max_files: usize) -> Self {
+    pub fn new(memory: usize, sockets: usize, max_files: usize) -> Self {
         let files = max_files - RESERVED_FILES.min(max_files / 2);
         let most = (files / FILES_PER_CONNECTION).min(memory / BYTES_PER_CONNECTION);
         Self {
             most: most.max(MIN_CONNECTIONS),
+            // The other half is for responses that are not read.
+            growth: Part::new(sockets / 2, 0),
+            sockets,
             inner: Mutex::default(),
             count: AtomicUsize::new(0),
             evicted: AtomicU64::new(0),
@@ -156,6 +175,14 @@
         self.count() * BYTES_PER_CONNECTION
     }
 
+    /// Bytes that are counted for larger receive buffers and for responses that are not read.
+    #[must_use]
+    pub fn held_in_sockets(&self) -> usize {
+        let inner = self.inner.lock();
+        let blocked = inner.states().filter(|state| state.is_blocked()).count();
+        self.growth.held() + blocked * BYTES_PER_BLOCKED
+    }
+
     /// Number of connections that were closed for others.
     #[must_use]
     pub fn evicted(&self) -> u64 {
@@ -198,13 +225,36 @@
             purpose,
             id,
             state,
+            has_grown: AtomicBool::new(false),
         })
     }
 
+    /// Closes connections whose callers do not read, those first that have not for longest, while
+    /// together they hold more than there is for them.
+    pub fn relieve(&self, now: Duration) {
+        let inner = self.inner.lock();
+        let mut blocked: Vec<_> = inner
+            .states()
+            .filter(|state| state.is_blocked() && !state.closed.is_cancelled())
+            .collect();
+        let most = self.sockets.saturating_sub(self.growth.held()) / BYTES_PER_BLOCKED;
+        let excess = blocked.len().saturating_sub(most);
+        if excess == 0 {
+            return;
+        }
+        blocked.sort_unstable_by_key(|state| state.blocked.load(Ordering::Relaxed));
+        for state in blocked.into_iter().take(excess) {
+            if state.blocked_since(now).is_some() {
+                state.closed.cancel();
+                self.evicted.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Closes connections that have waited too long.
     pub fn expire(&self, timeouts: Timeouts, now: Duration) {
         let inner = self.inner.lock();
-        for state in inner.open.values().flat_map(BTreeMap::values) {
+        for state in inner.states() {
             let (phase, since) = decode(state.phase.load(Ordering::Relaxed));
             let waited = now.saturating_sub(since);
             let is_late = match phase {
@@ -222,6 +272,10 @@
 }
 
 impl Inner {
+    fn states(&self) -> impl Iterator<Item = &Arc<State>> {
+        self.open.values().flat_map(BTreeMap::values)
+    }
+
     // Removes the connection that gives way.
     fn choose(&mut self, purpose: Purpose, now: Duration) -> Option<Arc<State>> {
         let open = self.open.get_mut(&purpose)?;
@@ -308,6 +362,17 @@
         self.state.blocked.store(0, Ordering::Relaxed);
     }
 
+    /// Takes memory for a larger receive buffer, which is given back when the connection is
+    /// dropped: the kernel does not take back a window. Returns whether there was enough, or the
+    /// connection has taken it before.
+    pub fn grow(&self) -> bool {
+        self.has_grown.load(Ordering::Relaxed) || {
+            let taken = self.connections.growth.take(BYTES_OF_GROWTH);
+            self.has_grown.store(taken, Ordering::Relaxed);
+            taken
+        }
+    }
+
     /// Listener that has accepted the connection.
     #[must_use]
     pub fn purpose(&self) -> Purpose {
@@ -334,6 +399,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.has_grown.load(Ordering::Relaxed) {
+            self.connections.growth.give_back(BYTES_OF_GROWTH, false);
+        }
         let mut inner = self.connections.inner.lock();
         let open = inner.open.get_mut(&self.purpose);
         if open.is_some_and(|open| open.remove(&self.id).is_some()) {
--- a/crates/gateway/src/memory/socket.rs
+++ b/crates/gateway/src/memory/socket.rs
@@ -10,6 +10,11 @@
 use tokio::net::TcpStream;
 
 use super::connections::{Connection, Phase};
+use crate::tcp;
+
+/// Bytes of a request after which its connection gets a larger receive buffer, before the caller
+/// has filled the first one. Requests of streams and calls without a body are shorter.
+const GROWTH_THRESHOLD: usize = 4 << 10;
 
 /// Socket of an accepted connection.
 pub(crate) struct Socket {
@@ -17,6 +22,9 @@
     connection: Arc<Connection>,
     clock: Arc<dyn Clock>,
     is_blocked: bool,
+    /// Bytes of the current request that were read.
+    received: usize,
+    has_grown: bool,
 }
 
 impl Socket {
@@ -30,6 +38,20 @@
             connection,
             clock,
             is_blocked: false,
+            received: 0,
+            has_grown: false,
+        }
+    }
+
+    fn record_read(&mut self, bytes: usize) {
+        if self.connection.phase() == Phase::Idle {
+            self.connection.begin(Phase::Head, self.clock.now());
+            self.received = 0;
+        }
+        self.received += bytes;
+        if !self.has_grown && self.received >= GROWTH_THRESHOLD && self.connection.grow() {
+            tcp::resize(&self.stream, tcp::GROWN);
+            self.has_grown = true;
         }
     }
 
@@ -56,8 +78,9 @@
         let socket = self.get_mut();
         let filled = buffer.filled().len();
         let result = Pin::new(&mut socket.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled && socket.connection.phase() == Phase::Idle {
-            socket.connection.begin(Phase::Head, socket.clock.now());
+        let bytes = buffer.filled().len() - filled;
+        if bytes > 0 {
+            socket.record_read(bytes);
         }
         result
     }
--- a/crates/gateway/src/memory_watch.rs
+++ b/crates/gateway/src/memory_watch.rs
@@ -7,6 +7,7 @@
 use crate::environment::Limits;
 use crate::gateway::Gateway;
 use crate::memory::connections::Timeouts;
+use crate::memory::machine;
 use crate::memory::resident::Resident;
 
 /// Precision of the timeouts of connections.
@@ -34,6 +35,7 @@
             head: limits.header_timeout,
         };
         memory.connections.expire(timeouts, gateway.now());
+        memory.connections.relieve(gateway.now());
         if check % CHECKS_PER_READING == 0 {
             was_near = report_resident(&gateway, was_near);
         }
@@ -70,6 +72,8 @@
         log::warn!(
             resident_bytes = resident.now, peak_bytes = resident.peak, limit_bytes = limit, is_near,
             connections = gateway.memory.connections.count(),
+            machine_tcp_pages = machine::tcp_pages(),
+            socket_bytes = gateway.memory.connections.held_in_sockets(),
             request_bytes = gateway.memory.bodies.held(),
             response_bytes = gateway.memory.responses.held();
             "resident memory and its limit"
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -170,6 +170,7 @@
     let stream = connector
         .connect(address, CONNECT_TIMEOUT, PEER_TIMEOUT)
         .await?;
+    tcp::resize(&stream, tcp::LINK);
     let url = format!("ws://{address}/mesh");
     let (stream, _) = client_async_with_config(url, stream, Some(socket::config()))
         .await
@@ -219,6 +220,7 @@
     reports: &Reports,
 ) -> Result<()> {
     tcp::configure(&stream, PEER_TIMEOUT).map_err(|error| Code::Broken(error.to_string()))?;
+    tcp::resize(&stream, tcp::LINK);
     let handshake = async {
         let stream = accept_async_with_config(stream, Some(socket::config()))
             .await
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,8 +11,8 @@
 use prometheus::{Registry, TextEncoder};
 
 use crate::error::Code;
-use crate::memory::Budget;
 use crate::memory::resident::Resident;
+use crate::memory::{Budget, machine};
 use crate::prediction::{Outcome, Prediction};
 use crate::{Result, id};
 
@@ -52,6 +52,7 @@
     memory: Gauge<u64>,
     memory_ended: Counter<u64>,
     resident: Gauge<u64>,
+    tcp_pages: Gauge<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -131,6 +132,10 @@
                 .u64_gauge("almondbank_resident_bytes")
                 .with_description("Resident memory of the process: now, and the peak.")
                 .build(),
+            tcp_pages: meter
+                .u64_gauge("almondbank_machine_tcp_pages")
+                .with_description("Pages of the machine that buffers of TCP connections take.")
+                .build(),
             memory_ended: counter(
                 "almondbank_memory_ended",
                 "Connections and bodies that were evicted or refused, by kind.",
@@ -294,6 +299,9 @@
                 self.resident.record(bytes, &[KeyValue::new("kind", kind)]);
             }
         }
+        if let Some(pages) = machine::tcp_pages() {
+            self.tcp_pages.record(pages, &[]);
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .inspect_err(|error| log::warn!(error:% = error; "failed to encode the metrics"))
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -15,8 +15,9 @@
 use almondbank_gateway::memory::progress::Progress;
 use almondbank_gateway::memory::resident::Resident;
 use almondbank_gateway::memory::responses::Responses;
-use almondbank_gateway::memory::{self, Budget, SMALL_BODY};
+use almondbank_gateway::memory::{self, Budget, SMALL_BODY, machine};
 use almondbank_gateway::prompt::{self, Parts};
+use almondbank_gateway::tcp;
 use almondbank_gateway::tenant::Credential;
 use almondbank_port::clock;
 use bytes::Bytes;
@@ -25,6 +26,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::HeaderValue;
 use quickcheck::quickcheck;
+use socket2::SockRef;
+use tokio::net::TcpStream;
 
 const CHUNK_BYTES: usize = 64 << 10;
 static CHUNK: [u8; CHUNK_BYTES] = [b'x'; CHUNK_BYTES];
@@ -110,6 +113,7 @@
     let parts = [
         memory::STATE_PERCENT,
         memory::CONNECTIONS_PERCENT,
+        memory::SOCKETS_PERCENT,
         memory::REQUESTS_PERCENT,
         memory::RESPONSES_PERCENT,
     ];
@@ -478,7 +482,7 @@
 }
 
 fn connections(max_files: usize) -> Arc<Connections> {
-    Arc::new(Connections::new(MEMORY, max_files))
+    Arc::new(Connections::new(MEMORY, MEMORY, max_files))
 }
 
 // Load: more idle connections than the process may have descriptors. Guards against a new
@@ -529,6 +533,78 @@
     assert!(open[5].is_closed() && !open[6].is_closed());
 }
 
+// Load: callers that do not read. Guards against their buffers in the kernel, which grow with
+// their number, and against a caller that is closed although it has just read.
+#[test]
+fn callers_that_do_not_read_are_closed_while_they_hold_too_much() {
+    let connections = Arc::new(Connections::new(MEMORY, 1 << 20, 400));
+    let open: Vec<_> = (0..20)
+        .map(|_| connections.admit(Purpose::Callers, ms(0)).unwrap())
+        .collect();
+    for (connection, at) in open.iter().zip(1..) {
+        connection.begin(Phase::Busy, ms(1));
+        connection.block(ms(1_000 * at));
+    }
+    let closed = || {
+        open.iter()
+            .filter(|connection| connection.is_closed())
+            .count()
+    };
+    connections.relieve(ms(4_000));
+    assert_eq!(closed(), 2);
+    connections.relieve(ms(60_000));
+    connections.relieve(ms(60_000));
+    assert!(open[..12].iter().all(Connection::is_closed));
+    assert!(!open[12..].iter().any(Connection::is_closed));
+    assert!(connections.held_in_sockets() > 1 << 20);
+    drop(open);
+    assert_eq!(connections.held_in_sockets(), 0);
+}
+
+// Guards against larger receive buffers that are counted twice, or not given back.
+#[test]
+fn larger_receive_buffers_take_at_most_half_of_the_part() {
+    let connections = Arc::new(Connections::new(MEMORY, 1 << 20, 400));
+    let open: Vec<_> = (0..30)
+        .map(|_| connections.admit(Purpose::Callers, ms(0)).unwrap())
+        .collect();
+    let grown = || open.iter().filter(|connection| connection.grow()).count();
+    assert_eq!((grown(), grown()), (10, 10));
+    assert_eq!(connections.held_in_sockets(), 10 * (48 << 10));
+    drop(open);
+    assert_eq!(connections.held_in_sockets(), 0);
+}
+
+// Guards against a figure of another protocol, and a page of metrics that fails without one.
+#[test]
+fn pages_of_tcp_buffers_are_read() {
+    let text = "sockets: used 9\nTCP: inuse 7 orphan 0 tw 16 alloc 7 mem 81\nUDP: inuse 1 mem 2\n";
+    assert_eq!(machine::parse_tcp_pages(text), Some(81));
+    assert_eq!(machine::parse_tcp_pages("TCP: inuse 7"), None);
+    assert_eq!(machine::parse_tcp_pages(""), None);
+}
+
+// Guards against buffers that the kernel lets grow to tens of megabytes.
+#[tokio::test]
+async fn sockets_have_buffers_of_bounded_sizes() {
+    let listener = tcp::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let time = ms(1_000);
+    let opened = tcp::connect(address, time, time).await.unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    let check = |stream: &TcpStream, buffers: tcp::Buffers| {
+        let socket = SockRef::from(stream);
+        assert_eq!(socket.recv_buffer_size().unwrap(), 2 * buffers.receive);
+        assert_eq!(socket.send_buffer_size().unwrap(), 2 * buffers.send);
+    };
+    check(&opened, tcp::OPENED);
+    check(&accepted, tcp::ACCEPTED);
+    tcp::resize(&accepted, tcp::GROWN);
+    check(&accepted, tcp::GROWN);
+    tcp::resize(&opened, tcp::LINK);
+    check(&opened, tcp::LINK);
+}
+
 // Load: connections of callers. Guards against readiness checks that get none beside them.
 #[test]
 fn callers_leave_the_connections_of_other_listeners() {
--- a/crates/port/src/http.rs
+++ b/crates/port/src/http.rs
@@ -27,6 +27,11 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_IDLE_PER_HOST: usize = 256;
+/// Receive buffer of a connection, in bytes, which the kernel doubles. Without a size it lets
+/// each grow to tens of megabytes while nothing is read.
+const RECEIVE_BUFFER: usize = 192 << 10;
+/// Send buffer of a connection, in bytes, likewise.
+const SEND_BUFFER: usize = 192 << 10;
 /// Largest response unless the client has a limit of its own, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Most bytes of the heads of a response, interim ones included.
@@ -234,6 +239,8 @@
     let mut connector = connect::HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
+    connector.set_recv_buffer_size(Some(RECEIVE_BUFFER));
+    connector.set_send_buffer_size(Some(SEND_BUFFER));
     // Detects connections dropped silently by a NAT or firewall: keepalive probes
     // while a connection is idle, TCP_USER_TIMEOUT while data is unacknowledged.
     connector.set_keepalive(Some(KEEPALIVE_IDLE));
