Test: bodies that a runner does not read are not copied into the kernel as a whole

Send buffers of connections to runners grew with the body: of 80 uploads of 200 kB that a runner doesn't read, 14.1 MB waited in the kernel beside the bodies that the process holds (test failed on, 6.6 MB allowed; 73.7 MB in all, within the limit of 120 MB at this number of requests).

--- a/crates/daemon/tests/kernel_memory.rs
+++ b/crates/daemon/tests/kernel_memory.rs
@@ -32,6 +32,9 @@
 /// of the largest size beyond each buffer.
 const MAX_UNSENT: usize = 112 << 10;
 const MAX_UNREAD_OF_RUNNER: usize = 80 << 10;
+const MAX_UNSENT_TO_RUNNER: usize = 80 << 10;
+/// Callers whose requests a runner does not read.
+const UNREAD_UPLOADS: usize = 80;
 /// Buffers of the crowd, in bytes, so that the machine holds little for it.
 const CROWD_BUFFER: u32 = 8 << 10;
 const SAMPLING_TIME: Duration = Duration::from_secs(5);
@@ -48,7 +51,7 @@
     callers: SocketAddr,
     directory: PathBuf,
     engine: Runner,
-    _desk: Runner,
+    desk: Runner,
     _store: Store,
 }
 
@@ -73,6 +76,7 @@
         let mut desk = Config::plain("desk-1", DESK);
         desk.processing_time = PROCESSING_TIME;
         desk.slots = 2_000;
+        desk.receive_buffer = Some(CROWD_BUFFER);
         let desk = Runner::start(desk, &store).await.unwrap();
         let engine = Config::engine("engine-1", ENGINES, &["m"]);
         let engine = Runner::start(engine, &store).await.unwrap();
@@ -87,7 +91,7 @@
             callers: SocketAddr::from((host, 7001)),
             directory,
             engine,
-            _desk: desk,
+            desk,
             _store: store,
         };
         let serving = async {
@@ -143,6 +147,7 @@
         };
         let callers = end(self.callers);
         let runner = end(self.engine.address());
+        let desk = end(self.desk.address());
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
         for line in table.lines().skip(1) {
             let fields: Vec<_> = line.split_whitespace().collect();
@@ -155,7 +160,11 @@
             let (unsent, unread) = fields[4].split_once(':').unwrap();
             let unread = usize::from_str_radix(unread, 16).unwrap();
             sample.unread += unread;
-            sample.unsent += usize::from_str_radix(unsent, 16).unwrap();
+            let unsent = usize::from_str_radix(unsent, 16).unwrap();
+            sample.unsent += unsent;
+            if fields[2] == desk {
+                sample.unsent_to_runner += unsent;
+            }
             if fields[2] == runner {
                 sample.unread_of_runner += unread;
             }
@@ -174,6 +183,8 @@
     unread_of_runner: usize,
     /// Written and not acknowledged.
     unsent: usize,
+    /// The part of it that a runner has not received.
+    unsent_to_runner: usize,
 }
 
 impl Sample {
@@ -282,3 +293,23 @@
     assert!(unread <= UNREAD_STREAMS * MAX_UNREAD_OF_RUNNER, "{most:?}");
     drop(crowd);
 }
+
+// Guards against bodies that are copied into the kernel as a whole while a runner does not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_a_runner_does_not_read_stay_within_the_memory() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let gateway = Gateway::start(3).await;
+    let behaviour = Behaviour::StopReading { bytes: 0 };
+    gateway.desk.set_behaviour(behaviour);
+    let mut crowd = JoinSet::new();
+    for number in 0..UNREAD_UPLOADS {
+        crowd.spawn(pipeline(number, gateway.callers));
+    }
+    let most = gateway.sample().await;
+    assert!(most.total() < MEMORY, "{most:?}");
+    let stalled = gateway.desk.record().stalled.len();
+    assert!(stalled >= UNREAD_UPLOADS, "{stalled}");
+    let unsent = most.unsent_to_runner;
+    assert!(unsent <= stalled * MAX_UNSENT_TO_RUNNER, "{most:?}");
+    crowd.shutdown().await;
+}
