--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use parking_lot::Mutex;
 use prometheus::{Registry, TextEncoder};
 
 use crate::error::Code;
-use crate::memory::Budget;
 use crate::memory::resident::Resident;
+use crate::memory::{Budget, machine};
 use crate::prediction::{Outcome, Prediction};
 use crate::{Result, id, log_status};
 
@@ -56,9 +56,28 @@
     /// Longest one since the metrics were last read.
     longest_lag: Arc<Mutex<Duration>>,
     stalls: Counter<u64>,
+    tcp_pages: Gauge<u64>,
     provider: SdkMeterProvider,
 }
 
+fn provider(registry: &Registry) -> Result<SdkMeterProvider> {
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .map_err(|error| Code::Malformed(error.to_string()))?;
+    Ok(SdkMeterProvider::builder().with_reader(exporter).build())
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    let builder = meter.u64_counter(name);
+    builder.with_description(description).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    let builder = meter.u64_gauge(name);
+    builder.with_description(description).build()
+}
+
 impl Metrics {
     /// Registers the metrics.
     ///
@@ -67,16 +86,10 @@
     /// Fails if the exporter cannot be created.
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| Code::Malformed(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let provider = provider(&registry)?;
         let meter = provider.meter("almondbank");
-        let counter = |name, description| {
-            let builder = meter.u64_counter(name);
-            builder.with_description(description).build()
-        };
+        let counter = |name, description| counter(&meter, name, description);
+        let gauge = |name, description| gauge(&meter, name, description);
         Ok(Self {
             responses: counter(
                 "almondbank_answers",
@@ -127,14 +140,14 @@
                 "Requests to other instances for units of quotas, by whether the owner granted in time.",
             ),
             tenants: Arc::default(),
-            memory: meter
-                .u64_gauge("almondbank_memory_held_bytes")
-                .with_description("Memory held for callers and runners, by part.")
-                .build(),
-            resident: meter
-                .u64_gauge("almondbank_resident_bytes")
-                .with_description("Resident memory of the process: now, and the peak.")
-                .build(),
+            memory: gauge(
+                "almondbank_memory_held_bytes",
+                "Memory held for callers and runners, by part.",
+            ),
+            resident: gauge(
+                "almondbank_resident_bytes",
+                "Resident memory of the process: now, and the peak.",
+            ),
             lag: meter
                 .f64_gauge("almondbank_lag_seconds")
                 .with_description(
@@ -146,6 +159,10 @@
                 "almondbank_stalls",
                 "Times for which no task ran that was due, by cause.",
             ),
+            tcp_pages: gauge(
+                "almondbank_machine_tcp_pages",
+                "Pages of the machine that buffers of TCP connections take.",
+            ),
             memory_ended: counter(
                 "almondbank_memory_ended",
                 "Connections and bodies that were evicted or refused, by kind.",
@@ -351,6 +368,9 @@
         }
         let lag = std::mem::take(&mut *self.longest_lag.lock());
         self.lag.record(lag.as_secs_f64(), &[]);
+        if let Some(pages) = machine::tcp_pages() {
+            self.tcp_pages.record(pages, &[]);
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .inspect_err(|error| log::warn!(error:% = error; "failed to encode the metrics"))
