A request that an unanswered ask would refuse waits for the owner's next answer

What callers saw: 429 with a retry-after of 1 to 2 s, far below the quota, from an instance whose last ask for tokens had no answer (after a stall of either process, a cut link, or a panic), however long ago that was.

Cause: after an ask without an answer the instance keeps to its equal share, which begins empty and fills only from the first request on. The next request was decided by it, and the owner asked again only beside it. So the first request after a quiet time was always refused with LOCAL_RETRY, by an owner that was in reach.

Now, if the share refuses a request and the owner may be asked again (once in 200 ms, no ask on its way), the request waits for that answer, 250 ms at most, and is decided by the share if there is none. All others are decided at once as before.

--- a/crates/gateway/src/quota/allowance.rs
+++ b/crates/gateway/src/quota/allowance.rs
@@ -93,9 +93,12 @@
         if holding.local.is_some() {
             let verdict = holding.take_local(cost, quota, &self.bound, &share(), draw, now);
             let may_probe = !holding.has_asked() && now >= holding.probe_at;
-            return Answer::Decided(verdict, may_probe.then(|| holding.ask(now)));
-        }
-        if holding.is_paused(now) {
+            let is_admitted = matches!(verdict, Verdict::Admitted(_));
+            if is_admitted || !may_probe {
+                return Answer::Decided(verdict, may_probe.then(|| holding.ask(now)));
+            }
+            // The owner may be in reach again, and the share may be empty as nothing has used it.
+        } else if holding.is_paused(now) {
             return Answer::Decided(holding.refuse_paused(cost, draw, now), None);
         }
         holding.used_at = now;
