--- a/crates/gateway/src/planner.rs
+++ b/crates/gateway/src/planner.rs
@@ -237,7 +237,9 @@
         let options = self.rooms.iter().filter_map(|(&name, room)| {
             let runner = room.runner;
             let is_taken = self.assigned.contains(name) || runner.is_busy;
-            if is_taken || runner.is_limited {
+            let is_too_costly =
+                !is_waited_for && room.lowest_cost(size_mb) * EVICTION_HYSTERESIS > demand.rate;
+            if is_taken || runner.is_limited || is_too_costly {
                 return None;
             }
             let holds = runner.provides(model) || runner.models.contains(model);
--- a/crates/gateway/src/planner/room.rs
+++ b/crates/gateway/src/planner/room.rs
@@ -44,6 +44,15 @@
         });
     }
 
+    /// Cost that no eviction for a model of `size_mb` is below.
+    pub(super) fn lowest_cost(&self, size_mb: f64) -> f64 {
+        if size_mb <= self.free_mb {
+            return 0.0;
+        }
+        let first = self.candidates.first();
+        first.map_or(0.0, |candidate| candidate.cost)
+    }
+
     /// Returns the cheapest eviction found that makes room for a model of `size_mb`, or `None`
     /// if no set of candidates frees enough memory.
     pub(super) fn eviction(&self, size_mb: f64) -> Option<Eviction<'a>> {
