--- a/crates/daemon/tests/gateway_start_dependencies.rs
+++ b/crates/daemon/tests/gateway_start_dependencies.rs
@@ -198,15 +198,27 @@
 async fn a_slow_store_at_the_start_does_not_keep_a_process_from_being_ready() {
     let store = store(&document::desired(1, &["m"])).await;
     for delay_ms in [60, 300] {
-        let name = format!("{delay_ms} ms");
-        let proxy = Proxy::start(store.address()).await.unwrap();
-        proxy.set_mode(Mode::Delay(Duration::from_millis(delay_ms)));
-        let mut process = start(proxy.address(), &name, &[]);
-        let elapsed = recovery(&name, &mut process).await;
-        assert!(elapsed < 2 * RECOVERY_TIME, "{name}: {elapsed:?}");
+        check_delayed(&store, Duration::from_millis(delay_ms)).await;
     }
 }
 
+// Guards against a start whose calls to the store are all given up too early.
+#[tokio::test]
+async fn a_store_slower_than_the_timeout_of_a_call_does_not_keep_a_process_from_being_ready() {
+    let store = store(&document::desired(1, &["m"])).await;
+    check_delayed(&store, Duration::from_millis(600)).await;
+}
+
+// Delays each way between a process that starts and its store.
+async fn check_delayed(store: &Store, delay: Duration) {
+    let name = format!("{delay:?}");
+    let proxy = Proxy::start(store.address()).await.unwrap();
+    proxy.set_mode(Mode::Delay(delay));
+    let mut process = start(proxy.address(), &name, &[]);
+    let elapsed = recovery(&name, &mut process).await;
+    assert!(elapsed < 2 * RECOVERY_TIME, "{name}: {elapsed:?}");
+}
+
 #[tokio::test]
 async fn a_document_that_cannot_be_used_at_the_start_does_not_keep_a_process_from_being_ready() {
     let valid = document::desired(3, &["m"]);
