Tests: a process with a quarter of a core runs for its quarter

The process had logged its start 15.9 s before it was listening.

Cause: the check of readiness ended the time to run. Until the address is bound the check is refused at once, so that the process was stopped again within a fraction of its 25 ms, and ran for far less than a quarter of the time that the name says.

The process runs for 25 ms of each 100 ms now, whatever the check does. The bound of 4 s is unchanged.

--- a/crates/daemon/tests/gateway_start_dependencies.rs
+++ b/crates/daemon/tests/gateway_start_dependencies.rs
@@ -23,6 +23,8 @@
 /// Time in which a process is to be ready once the fault is over.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which a process with a part of a core runs at once.
+const RUNNING_TIME: Duration = Duration::from_millis(25);
 
 /// Responses of a store that fails, or of something else at its address.
 const RESPONSES: [(&str, &str); 15] = [
@@ -354,7 +356,7 @@
     );
 }
 
-// A process that runs for 25 ms of each 100 ms.
+// A process that runs for a quarter of the time.
 #[tokio::test]
 async fn a_quarter_of_a_core_does_not_keep_a_process_from_being_ready() {
     let store = store(&document::desired(1, &["m"])).await;
@@ -363,10 +365,12 @@
     let mut is_ready = false;
     while !is_ready && began.elapsed() < READY_TIMEOUT {
         process.signal(Signal::SIGSTOP).unwrap();
-        time::sleep(Duration::from_millis(75)).await;
+        time::sleep(3 * RUNNING_TIME).await;
         process.signal(Signal::SIGCONT).unwrap();
-        let check = time::timeout(Duration::from_millis(25), process.is_ready());
-        is_ready = check.await.unwrap_or_default();
+        // A connection that is refused ends the check at once, but not the time to run.
+        let check = time::timeout(RUNNING_TIME, process.is_ready());
+        let (check, ()) = tokio::join!(check, time::sleep(RUNNING_TIME));
+        is_ready = check.unwrap_or_default();
     }
     println!(
         "quarter of a core: ready after {} ms",
