--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -114,6 +114,12 @@
             self.unanswered = 0;
         } else if now >= outstanding.until {
             self.unanswered += 1;
+            log::info!(
+                peer = outstanding.peer.as_str(), unanswered = self.unanswered,
+                environment = outstanding.versions.environment,
+                registry = outstanding.versions.registry;
+                "peer has not sent the versions that were requested"
+            );
             self.silent.insert(outstanding.peer, now + SILENT_TIME);
         } else {
             self.outstanding = Some(outstanding);
