Tests: one way to prepare a process and a store with an environment

Five test files had the same lines for a store with an environment, four for the settings file of a process.

--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -44,17 +44,12 @@
 const FEW_FILES: u32 = 8;
 
 async fn store() -> Store {
-    let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
-    store.put("op", "config", document.to_string().as_bytes());
-    store
+    Store::start_with(&document).await.unwrap()
 }
 
 fn prepare(store: &Store) -> Process {
-    let process = Process::new().unwrap();
-    let settings = process.settings(store.address());
-    std::fs::write(process.settings_path(), settings).unwrap();
-    process
+    Process::prepare("entry-1", store.address()).unwrap()
 }
 
 // Sends requests whose lines go to the log, and waits for each response.
--- a/crates/daemon/tests/gateway_lists.rs
+++ b/crates/daemon/tests/gateway_lists.rs
@@ -17,9 +17,8 @@
 
 // Starts a store with rows that are no registrations.
 async fn store(key: impl Fn(usize) -> String) -> Store {
-    let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
-    store.put("op", "config", document.to_string().as_bytes());
+    let store = Store::start_with(&document).await.unwrap();
     store.set_page_rows(PAGE_ROWS);
     for number in 0..ROWS {
         store.put("servers", &key(number), b"[]");
@@ -28,14 +27,9 @@
 }
 
 fn processes(store: &Store) -> Vec<Process> {
-    let process = |number| {
-        let process = Process::new().unwrap();
-        let settings = process.settings(store.address());
-        let settings = settings.replace("entry-1", &format!("entry-{number}"));
-        std::fs::write(process.settings_path(), settings).unwrap();
-        process
-    };
-    (0..PROCESSES).map(process).collect()
+    (0..PROCESSES)
+        .map(|number| Process::prepare(&format!("entry-{number}"), store.address()).unwrap())
+        .collect()
 }
 
 async fn start(name: &str, processes: &mut [Process]) {
--- a/crates/daemon/tests/gateway_output.rs
+++ b/crates/daemon/tests/gateway_output.rs
@@ -33,17 +33,12 @@
 const ID_BYTES: usize = 8_000;
 
 async fn store() -> Store {
-    let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
-    store.put("op", "config", document.to_string().as_bytes());
-    store
+    Store::start_with(&document).await.unwrap()
 }
 
 fn prepare(store: &Store) -> Process {
-    let process = Process::new().unwrap();
-    let settings = process.settings(store.address());
-    std::fs::write(process.settings_path(), settings).unwrap();
-    process
+    Process::prepare("entry-1", store.address()).unwrap()
 }
 
 async fn send_requests(process: &Process, count: usize, padding: usize) {
--- a/crates/daemon/tests/gateway_start.rs
+++ b/crates/daemon/tests/gateway_start.rs
@@ -27,17 +27,12 @@
 const HOLD_TIME: Duration = Duration::from_millis(700);
 
 async fn store() -> Store {
-    let store = Store::start().await.unwrap();
     let document = document::desired(1, &["m"]);
-    store.put("op", "config", document.to_string().as_bytes());
-    store
+    Store::start_with(&document).await.unwrap()
 }
 
 fn prepare(store: &Store) -> Process {
-    let process = Process::new().unwrap();
-    let settings = process.settings(store.address());
-    std::fs::write(process.settings_path(), settings).unwrap();
-    process
+    Process::prepare("entry-1", store.address()).unwrap()
 }
 
 async fn check_running(process: &mut Process) {
--- a/crates/daemon/tests/gateway_start_dependencies.rs
+++ b/crates/daemon/tests/gateway_start_dependencies.rs
@@ -112,9 +112,7 @@
 }
 
 async fn store(document: &Value) -> Store {
-    let store = Store::start().await.unwrap();
-    store.put("op", "config", document.to_string().as_bytes());
-    store
+    Store::start_with(document).await.unwrap()
 }
 
 fn start(store: SocketAddr, instance: &str, seeds: &[SocketAddr]) -> Process {
