A row of an earlier run does not make a peer unknown

Callers with listed keys got 401 after a restart and a return of the store from a copy, where their requests were handed over between instances: the copy lists earlier incarnations, which replaced those that report, so that a peer took the handover for a caller without a key. An instance whose own row names an earlier run did not write it again either.

A row of the store is taken only for an instance that does not report at present, and a row of another incarnation counts as lost.

a_row_of_an_earlier_run_does_not_make_a_peer_unknown failed before: statuses 401 and 503 only in 2 s, and the row was not written within 10 s. It passes, with the other 8 of the file and the 10 of restored_store.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -77,8 +77,8 @@
     }
 }
 
-// Reads the rows of all instances; returns whether this one is listed, or `None` if the
-// rows could not be read.
+// Reads the rows of all instances; returns whether this incarnation is listed, or `None` if
+// the rows could not be read.
 async fn read_members(gateway: &Arc<Gateway>, reports: &Reports) -> Option<bool> {
     let rows = match gateway.ports.table.scan(&key::members(ENVIRONMENT)).await {
         Ok(rows) => rows,
@@ -92,10 +92,10 @@
     for row in rows {
         match key::decode::<mesh::Hello>(&row.key, &row.value) {
             Ok(hello) if hello.instance == gateway.settings.instance => {
-                is_listed = true;
+                is_listed = hello.incarnation == gateway.incarnation;
             }
             Ok(hello) => {
-                gateway.members.insert(&hello);
+                gateway.members.insert_listed(&hello, gateway.now());
                 addresses.extend(hello.peers.parse::<SocketAddr>().ok());
             }
             Err(error) => log::warn!(error:% = error; "row of an instance is malformed"),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -95,8 +95,23 @@
         self.leader_left.notified().await;
     }
 
-    /// Adds an instance from its hello message or row; returns whether the instance
-    /// or its incarnation is new.
+    /// Adds an instance from its row in the store, unless it reports as another incarnation: the
+    /// row may be of an earlier run if the store came back from a copy.
+    pub fn insert_listed(&self, hello: &mesh::Hello, now: Duration) {
+        if !self.is_live(&hello.instance, now) {
+            self.insert(hello);
+        }
+    }
+
+    fn is_live(&self, instance: &str, now: Duration) -> bool {
+        let inner = self.inner.lock();
+        let timeout = self.failure_timeout(&inner);
+        let member = inner.get(instance);
+        member.is_some_and(|member| member.is_live(now, timeout(member)))
+    }
+
+    /// Adds an instance from its hello message; returns whether the instance or its
+    /// incarnation is new.
     pub fn insert(&self, hello: &mesh::Hello) -> bool {
         let (Ok(peers), Ok(callers)) = (hello.peers.parse(), hello.callers.parse()) else {
             return false;
