A peer that does not know the sender of a request does not answer its caller

Callers with listed keys got 401 where their request was handed over to an instance that had just started: it did not know the sender yet, took the request for one without a key, and its refusal was passed on to the caller, who does not retry after it.

Such a refusal says that the sender is not known, and counts as declined: another peer is asked, or the caller hears that the request has not run. Callers who pass for a peer get the same 401 as before; what a runner says of handovers is not passed on.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -62,7 +62,8 @@
         .decode(&head)
         .map_err(|refusal| refuse(gateway, None, &refusal))?;
     // Callers may send any header.
-    call.handed_over_by
+    let unknown_sender = call
+        .handed_over_by
         .take_if(|from| !gateway.members.has_incarnation(from));
     if call.handed_over_by.is_none() {
         call.software = None;
@@ -85,7 +86,8 @@
         // Neither runners nor other instances may see a key.
         head.headers.remove(AUTHORIZATION);
         if !route.is_public {
-            tenant = Some(authenticate(tenants, &call).map_err(reject)?);
+            let authenticated = authenticate(tenants, &call, unknown_sender.is_some());
+            tenant = Some(authenticated.map_err(reject)?);
         }
     } else if call.tenant.is_some() {
         // The peer has a newer environment. Here, the request would run for no tenant.
@@ -129,10 +131,20 @@
 }
 
 // Returns the tenant of the caller. A peer that hands a request over has authenticated it.
-fn authenticate(tenants: &Directory, call: &call::Call) -> Result<Arc<Tenant>, Reason> {
+fn authenticate(
+    tenants: &Directory,
+    call: &call::Call,
+    is_sender_unknown: bool,
+) -> Result<Arc<Tenant>, Reason> {
     let (tenant, reason) = if call.handed_over_by.is_some() {
         let name = call.tenant.as_deref();
         (name.and_then(|name| tenants.get(name)), Reason::Misdirected)
+    } else if is_sender_unknown {
+        // A peer that sees this offers the request to another one.
+        (
+            tenants.authenticate(&call.credential),
+            Reason::UnknownSender,
+        )
     } else {
         (tenants.authenticate(&call.credential), Reason::Unauthorized)
     };
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -11,7 +11,7 @@
 
 use almondbank_port::clock::Clock;
 use http_body_util::Full;
-use hyper::{Request, StatusCode, http};
+use hyper::{Request, http};
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
 use strum::IntoStaticStr;
@@ -150,11 +150,11 @@
         );
         let transfer = self.transfer(protocol, exchange, &mut connection, software);
         match transfer.await {
-            Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
-                Outcome::Declined
-            }
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                if protocol.declines(&head) {
+                    return Outcome::Declined;
+                }
                 let latency = self.clock.now().saturating_sub(exchange.arrived);
                 log::info!(
                     request, peer, status = head.status.as_u16(), latency_ms = millis(latency);
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -92,6 +92,9 @@
         handover: &Handover<'_>,
     ) -> Result<http::request::Parts>;
 
+    /// Whether a peer's response says that it does not take the request, which has not run.
+    fn declines(&self, head: &http::response::Parts) -> bool;
+
     /// Returns the software version of the runner whose response a peer has passed on, if the
     /// peer names it.
     fn software(&self, head: &http::response::Parts) -> Option<id::Software>;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -18,6 +18,9 @@
     NoMemory,
     /// The route needs a key, and the request has none that the environment lists.
     Unauthorized,
+    /// The same, of a request that names an instance which is not known as the one that has
+    /// handed it over.
+    UnknownSender,
     /// The tenant has used up its quota.
     QuotaExceeded,
     /// No route of the environment matches the request.
@@ -102,7 +105,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
-            Self::Unauthorized => 401,
+            Self::Unauthorized | Self::UnknownSender => 401,
             Self::NoRoute => 404,
             Self::SlowBody => 408,
             Self::BodyTooLong => 413,
