A list of several pages is complete only as of its first page

The last pages of a list are read later than the first, and may hold newer registrations. The registry took the newest of them as the revision up to which it knows all changes. A runner that was removed in between stayed usable on instances that had the list from a peer: they took the changes since for known, and a peer's newer list too. The time in between has no bound since a list goes on after a failure. The revision of the list now bounds what is known.

Failed before: a_removal_during_the_read_of_a_list_reaches_an_instance_that_got_the_list_from_a_peer, a_list_that_was_read_over_a_long_time_yields_to_a_newer_one_of_a_peer (2 usable runners, 1 expected).

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -139,9 +139,11 @@
         self.notify();
     }
 
-    /// Replaces the list by `registrations`, which is complete as of `revision`.
+    /// Replaces the list by `registrations`, which is complete as of `revision`. It may hold
+    /// later changes, but not all of them.
     pub fn replace(&self, registrations: Vec<mesh::Registration>, revision: u64, now: Duration) {
         let mut inner = self.inner.lock();
+        let newest = inner.newest;
         let listed: BTreeSet<_> = registrations
             .iter()
             .map(|registration| registration.runner.clone())
@@ -149,6 +151,7 @@
         for registration in registrations {
             inner.put(registration, now);
         }
+        inner.newest = newest.max(inner.newest.min(revision));
         let missing: Vec<_> = inner
             .runners
             .keys()
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -287,3 +287,43 @@
         assert_eq!(usable(&registry, second(8)), usize::from(!lapses));
     }
 }
+
+#[test]
+fn a_removal_during_the_read_of_a_list_reaches_an_instance_that_got_the_list_from_a_peer() {
+    // The list is complete as of 3; its last page, read later, holds a newer registration.
+    let follower = Registry::new(RECONCILE);
+    follower.replace(vec![entry("a", 1), entry("z", 5)], 3, second(0));
+    let list = |registry: &Registry| mesh::Registry {
+        after: None,
+        revision: registry.newest_revision(),
+        registrations: registry.registrations(),
+        removed: Vec::new(),
+    };
+    let other = Registry::new(RECONCILE);
+    other.merge(list(&follower), second(0));
+    let changes = mesh::Registry {
+        after: Some(follower.newest_revision()),
+        revision: 5,
+        registrations: vec![entry("z", 5)],
+        removed: vec![mesh::Removed {
+            runner: "a".to_owned(),
+            revision: 4,
+        }],
+    };
+    other.merge(changes, second(1));
+    assert_eq!(usable(&other, second(1)), 1);
+}
+
+#[test]
+fn a_list_that_was_read_over_a_long_time_yields_to_a_newer_one_of_a_peer() {
+    let registry = Registry::new(RECONCILE);
+    registry.replace(vec![entry("a", 1), entry("z", 5)], 3, second(0));
+    let newer = mesh::Registry {
+        after: None,
+        revision: 5,
+        registrations: vec![entry("z", 5)],
+        removed: Vec::new(),
+    };
+    registry.merge(newer, second(1));
+    assert_eq!(usable(&registry, second(1)), 1);
+}
