--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -327,3 +327,14 @@
     registry.merge(newer, second(1));
     assert_eq!(usable(&registry, second(1)), 1);
 }
+
+#[test]
+fn an_old_list_does_not_bring_runners_back_that_were_removed_long_ago() {
+    let registry = Registry::new(RECONCILE);
+    registry.replace(vec![entry("a", 1), entry("z", 2)], 3, second(0));
+    registry.apply(vec![Change::Removed("a".to_owned(), 4)], second(1));
+    // Later changes purge what is known of the removed one.
+    registry.apply(vec![put(entry("z", 5))], second(100));
+    registry.replace(vec![entry("a", 1), entry("z", 5)], 3, second(101));
+    assert_eq!(usable(&registry, second(101)), 1);
+}
