--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -99,6 +99,15 @@
     pub fn status(status: u16) -> Self {
         Code::Status(status).into()
     }
+
+    /// Returns the HTTP status of a refusal, if the error is one.
+    #[must_use]
+    pub fn refusal(&self) -> Option<u16> {
+        match *self.code {
+            Code::Status(status) => Some(status),
+            _ => None,
+        }
+    }
 }
 
 impl<T: Into<Code>> From<T> for Error {
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -139,11 +139,14 @@
         self.notify();
     }
 
-    /// Replaces the list by `registrations`, which is complete as of `revision`. It may hold
-    /// later changes, but not all of them.
+    /// Replaces the list by `registrations`, which is complete as of `revision`, unless a newer
+    /// one is known. It may hold later changes, but not all of them.
     pub fn replace(&self, registrations: Vec<mesh::Registration>, revision: u64, now: Duration) {
         let mut inner = self.inner.lock();
         let newest = inner.newest;
+        if inner.loaded_at.is_some() && revision < newest {
+            return;
+        }
         let listed: BTreeSet<_> = registrations
             .iter()
             .map(|registration| registration.runner.clone())
