A runner whose id fits no header does not end requests

Callers got 400 for each request that was first meant for a runner with a control character in its id, though other runners of the service were sound: the header Almondbank-Expect-Instance can't hold such an id, and a head that can't be encoded ended the request as one that may have run.

Nothing of such a request has been sent, so it goes on to the next runner now, as after a failed connection. The log line names the runner.

--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -77,7 +77,7 @@
             self.report_reach(change);
         }
         let Some(request) = self.request(&chosen) else {
-            return Outcome::Unknown(Reason::BadRequest);
+            return Outcome::Unsent;
         };
         let target = exchange.call.target.as_ref();
         let model = target.map_or("", |target| target.model.as_str());
@@ -147,7 +147,11 @@
         match protocol.encode(&exchange.head, address, body.len(), &dispatch) {
             Ok(head) => Some(Request::from_parts(head, Full::new(body.clone()))),
             Err(error) => {
-                log::warn!(request = exchange.call.attempt.as_str(), error:% = error; "failed to encode the request head");
+                log::warn!(
+                    request = exchange.call.attempt.as_str(), runner = dispatch.runner.as_str(),
+                    error:% = error;
+                    "failed to encode the request head"
+                );
                 None
             }
         }
