A runner that no request can name is left out alone

A runner whose id has control characters, or white space at its ends, was chosen for requests like any other. The header Almondbank-Expect-Instance either can't hold the id or arrives without the white space, so that the runner answered 421; where it was the only one, callers got 503 'overloaded' for every request, with a connection or a send for each.

The header is optional, and without it such a runner could serve. But an address is given to a runner of another service after a while, and a stale registration would then let a request run there, unnoticed. So the runner is left out: the registry asks the protocol whether a request can name it, wherever the registration comes from, the store or a peer of an older build. It is logged once, when it registers. Other runners of the service are used, and so are ids with spaces inside, commas, quotes or characters beyond ASCII.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::leaving::Leaving;
 use crate::outage::Outage;
+use crate::protocol::Protocol;
 use crate::registered::{LAPSE_TIME, Runner};
 
 /// Time for which a removed registration is kept as a tombstone, so that an older
@@ -28,6 +29,10 @@
     pub(crate) outage: Outage,
     /// Time at which the full list of registrations was read first.
     pub(crate) loaded_at: Option<Duration>,
+    /// Protocol of the requests to runners; without one, any runner can be named in them.
+    pub(crate) protocol: Option<Arc<dyn Protocol>>,
+    /// Registered runners that are not used, as no request can name them.
+    unnamed: BTreeSet<id::Runner>,
 }
 
 impl Entries {
@@ -36,6 +41,9 @@
         let Ok(address) = registration.address.parse() else {
             return;
         };
+        if !self.can_expect(&registration.runner) {
+            return;
+        }
         if let Some(known) = self.runners.get_mut(&registration.runner)
             && known.is_newer_than(&registration)
         {
@@ -79,6 +87,16 @@
         self.runners.insert(runner.id().clone(), runner);
     }
 
+    // Whether requests can name the runner. One that they cannot is logged when it registers.
+    fn can_expect(&mut self, runner: &str) -> bool {
+        let protocol = self.protocol.as_ref();
+        let can_expect = protocol.is_none_or(|protocol| protocol.can_expect(runner));
+        if !can_expect && self.unnamed.insert(runner.to_owned()) {
+            log::warn!(runner; "no request can name the runner; it is not used");
+        }
+        can_expect
+    }
+
     // Registrations of live runners may expire in an outage of the store. They are back soon
     // after its end, so a runner that is removed stays usable until then.
     pub(crate) fn remove(
@@ -90,6 +108,7 @@
     ) {
         let failed_lately = self.outage.has_failed_within(OUTAGE_WINDOW, now);
         let outage_end = self.outage.end(now);
+        self.unnamed.remove(runner);
         let Some(runner) = self.runners.get_mut(runner) else {
             return;
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -169,6 +169,8 @@
         let clock = Arc::clone(&ports.clock);
         let incarnation = membership::incarnation(&settings.instance);
         let peer_connector = Arc::clone(&ports.peer_connector);
+        let registry = Registry::new(settings.reconcile_window);
+        let registry = registry.with_protocol(Arc::clone(&ports.protocol));
         Ok(Self {
             handover: Handover::new(&incarnation, &clock, peer_connector),
             memory: memory::Budget::new(settings.memory, settings.max_files),
@@ -181,7 +183,7 @@
             stored_version: Mutex::default(),
             announced: watch::Sender::new(0),
             fetches: fetch::Pacer::default(),
-            registry: Arc::new(Registry::new(settings.reconcile_window)),
+            registry: Arc::new(registry),
             in_flight: Arc::default(),
             claims: Arc::new(fair_share::Tracker::new(&settings.instance)),
             prefixes: Index::default(),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -65,6 +65,10 @@
     /// Returns the refusal for the caller if the head is malformed.
     fn decode(&self, head: &http::request::Parts) -> std::result::Result<Call, Refusal>;
 
+    /// Whether a request can name `runner` as the only one that may run it. One that cannot
+    /// would run at any other runner that is assigned the address.
+    fn can_expect(&self, runner: &str) -> bool;
+
     /// Builds the request head for a runner. Method and request target are kept;
     /// connection headers are removed.
     ///
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -11,6 +11,7 @@
 use crate::call::Target;
 use crate::entries::Entries;
 use crate::feed::Change;
+use crate::protocol::Protocol;
 pub use crate::registered::Runner;
 use crate::{id, software};
 
@@ -39,6 +40,13 @@
         }
     }
 
+    /// Leaves out the runners that no request of `protocol` can name.
+    #[must_use]
+    pub fn with_protocol(self, protocol: Arc<dyn Protocol>) -> Self {
+        self.inner.lock().protocol = Some(protocol);
+        self
+    }
+
     /// Returns a receiver that is notified of every change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
