A tenant whose name fits no header does not run as another

A receiver trims the white space around a header's value. Callers with a key of the tenant ' studio' or 'studio<TAB>' were served, but as the tenant 'studio': their runners, and the instance that a request was handed over to, read that name, and its quota and priority. A name with a control character failed at each runner in turn, and its callers got 503 'overloaded', with a connection opened at every runner.

Runners need the name as it is, so there is no encoding that they would read. Such a tenant is refused by itself and at once, before the body is read, a quota is charged or a runner is chosen: 503 'tenant_name', which promises that nothing ran. A handover names a tenant exactly or not at all; names with '%', commas, inner spaces or characters beyond ASCII stay as they were on the wire.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -85,7 +85,11 @@
         // Neither runners nor other instances may see a key.
         head.headers.remove(AUTHORIZATION);
         if !route.is_public {
-            tenant = Some(authenticate(tenants, &call).map_err(reject)?);
+            let caller = authenticate(tenants, &call).map_err(reject)?;
+            if !protocol.can_name_tenant(&caller.name) {
+                return Err(reject(Reason::TenantName));
+            }
+            tenant = Some(caller);
         }
     } else if call.tenant.is_some() {
         // The peer has a newer environment. Here, the request would run for no tenant.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -69,6 +69,9 @@
     /// would run at any other runner that is assigned the address.
     fn can_expect(&self, runner: &str) -> bool;
 
+    /// Whether a request to a runner can name `tenant`.
+    fn can_name_tenant(&self, tenant: &str) -> bool;
+
     /// Builds the request head for a runner. Method and request target are kept;
     /// connection headers are removed.
     ///
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -18,6 +18,8 @@
     NoMemory,
     /// The route needs a key, and the request has none that the environment lists.
     Unauthorized,
+    /// No request to a runner can name the tenant.
+    TenantName,
     /// The tenant has used up its quota.
     QuotaExceeded,
     /// No route of the environment matches the request.
@@ -107,7 +109,8 @@
             Self::SlowBody => 408,
             Self::BodyTooLong => 413,
             Self::QuotaExceeded => 429,
-            Self::Leaving
+            Self::TenantName
+            | Self::Leaving
             | Self::NoEnvironment
             | Self::NoMemory
             | Self::NoRunner
