Requests in flight for a model with a slash in its name count for it

Instances tell each other the requests in flight by MODEL or MODEL/ADAPTER, which was split at the first slash: those for the model 'org/m' counted for a model 'org' with an adapter 'm', also at the instance itself.

Adapters have no slash in their names, so the text is split at the last one, and a model with a slash and no adapter ends with one. Names without a slash stay as they were, for older builds. The test failed before for 'org/m' and passes now for six targets.

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -279,20 +279,19 @@
     }
 }
 
+// A model with a slash in its name ends at the last one.
 fn encode(target: &Target) -> String {
     match &target.adapter {
         Some(adapter) => format!("{}/{adapter}", target.model),
+        None if target.model.contains('/') => format!("{}/", target.model),
         None => target.model.clone(),
     }
 }
 
 fn decode(target: &str) -> Target {
-    let (model, adapter) = match target.split_once('/') {
-        Some((model, adapter)) => (model, Some(adapter.to_owned())),
-        None => (target, None),
-    };
+    let (model, adapter) = target.rsplit_once('/').unwrap_or((target, ""));
     Target {
         model: model.to_owned(),
-        adapter,
+        adapter: (!adapter.is_empty()).then(|| adapter.to_owned()),
     }
 }
--- a/crates/gateway/tests/in_flight.rs
+++ b/crates/gateway/tests/in_flight.rs
@@ -65,3 +65,27 @@
     assert!(!tracker.contains("former"), "{tracker}");
     assert!(tracker.contains("present"), "{tracker}");
 }
+
+#[test]
+fn a_peer_knows_models_whose_names_have_slashes() {
+    for (model, adapter) in [
+        ("org/m", None),
+        ("org/m", Some("a1")),
+        ("a/b/c", None),
+        ("/", None),
+        ("/", Some("a1")),
+        ("m/", None),
+    ] {
+        let target = Target {
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+        };
+        let peer: Arc<Tracker> = Arc::default();
+        let _guard = peer.track("r", Some(&target), 10, 20);
+        let own: Arc<Tracker> = Arc::default();
+        own.set_peer("peer", peer.own(), NOW);
+        assert!(own.targets("r", NOW).contains(&target), "{target:?}");
+        let key = ("r".to_owned(), model.to_owned());
+        assert!(own.by_model(NOW).contains_key(&key), "{target:?}");
+    }
+}
