--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -115,8 +115,8 @@
         .map_err(|_| reject(Reason::Expired))?
         .map_err(|failure| refuse(gateway, Some(&call), &body_refusal(failure)))?;
     // What a request to a plain service names is left to its runner.
-    call.target
-        .take_if(|_| environment.engine(&service).is_none());
+    let target = call.target.take().zip(environment.engine(&service));
+    call.target = target.map(|(target, engine)| engine.resolve(target));
     Ok(Exchange {
         blocks: call.blocks(),
         head,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::call::Target;
 use crate::id;
 
 /// A group of runners that serve the same requests.
@@ -36,6 +37,31 @@
     pub models: BTreeMap<id::Model, Model>,
 }
 
+impl Engine {
+    /// Returns the model and the adapter that `target` names, which was split at any slash. Names
+    /// of models may have some.
+    #[must_use]
+    pub fn resolve(&self, target: Target) -> Target {
+        let Some(adapter) = &target.adapter else {
+            return target;
+        };
+        let name = format!("{}/{adapter}", target.model);
+        if self.models.contains_key(&name) {
+            return Target {
+                model: name,
+                adapter: None,
+            };
+        }
+        let slashes = name.rmatch_indices('/');
+        let mut splits = slashes.map(|(at, slash)| (&name[..at], &name[at + slash.len()..]));
+        let known = splits.find(|(model, _)| self.models.contains_key(*model));
+        known.map_or(target, |(model, adapter)| Target {
+            model: model.to_owned(),
+            adapter: Some(adapter.to_owned()),
+        })
+    }
+}
+
 /// One model of an engine.
 #[derive(Clone, Debug)]
 pub struct Model {
