--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -87,7 +87,11 @@
         head.headers.remove(AUTHORIZATION);
         if !route.is_public {
             let authenticated = authenticate(tenants, &call, unknown_sender.is_some());
-            tenant = Some(authenticated.map_err(reject)?);
+            let caller = authenticated.map_err(reject)?;
+            if !protocol.can_name_tenant(&caller.name) {
+                return Err(reject(Reason::TenantName));
+            }
+            tenant = Some(caller);
         }
     } else if call.tenant.is_some() {
         // The peer has a newer environment. Here, the request would run for no tenant.
@@ -113,8 +117,8 @@
         .map_err(|_| reject(Reason::Expired))?
         .map_err(|failure| refuse(gateway, Some(&call), &body_refusal(failure)))?;
     // What a request to a plain service names is left to its runner.
-    call.target
-        .take_if(|_| environment.engine(&service).is_none());
+    let target = call.target.take().zip(environment.engine(&service));
+    call.target = target.map(|(target, engine)| engine.resolve(target));
     Ok(Exchange {
         blocks: call.blocks(),
         head,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -21,6 +21,8 @@
     /// The same, of a request that names an instance which is not known as the one that has
     /// handed it over.
     UnknownSender,
+    /// No request to a runner can name the tenant.
+    TenantName,
     /// The tenant has used up its quota.
     QuotaExceeded,
     /// No route of the environment matches the request.
@@ -110,7 +112,8 @@
             Self::SlowBody => 408,
             Self::BodyTooLong => 413,
             Self::QuotaExceeded => 429,
-            Self::Leaving
+            Self::TenantName
+            | Self::Leaving
             | Self::NoEnvironment
             | Self::NoMemory
             | Self::NoRunner
