Line breaks in ids of transactions are escaped

What callers saw: instances with a line break in their name never registered in a way that others could read: each row of theirs was malformed, the lease's too.

Cause: rows hold the id of the transaction that wrote them, a line break and the value. The id begins with the instance's name, so that the value was cut off at the name's line break.

Change: a transaction's id is escaped when it is made (`str::escape_default`, no two ids give the same text), for both tables. It is only ever compared with the id of a transaction of the same process. Ids of ASCII names without controls, quotes and backslashes stay as they are.

--- a/crates/port/src/table.rs
+++ b/crates/port/src/table.rs
@@ -31,10 +31,11 @@
 }
 
 impl Transaction {
-    /// Makes an empty transaction; `id` is stored in the rows that it writes.
-    pub fn new(id: impl Into<String>) -> Self {
+    /// Makes an empty transaction; `id` is stored in the rows that it writes. Its line breaks are
+    /// escaped, since one separates it from the value.
+    pub fn new(id: impl AsRef<str>) -> Self {
         Self {
-            id: id.into(),
+            id: id.as_ref().escape_default().to_string(),
             conditions: Vec::new(),
             writes: Vec::new(),
         }
--- a/crates/port/tests/commit.rs
+++ b/crates/port/tests/commit.rs
@@ -1,5 +1,6 @@
 //! `commit::resolve` finds the outcome of a transaction despite lost responses.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondbank_port::clock::Clock;
@@ -74,3 +75,14 @@
     assert_eq!(error.category(), Category::Unknown);
     assert!(clock.now() <= DEADLINE);
 }
+
+#[test]
+fn ids_of_transactions_hold_no_line_breaks_and_differ() {
+    let ids = [
+        "a\nb", "a\\nb", "a\\\nb", "a\r\nb", "a\nb\n", "\n", "\u{85}", "ü", "a/b-1",
+    ];
+    let stored: BTreeSet<_> = ids.map(|id| Transaction::new(id).id().to_owned()).into();
+    assert_eq!(stored.len(), ids.len());
+    assert!(stored.iter().all(|id| !id.chars().any(char::is_control)));
+    assert_eq!(Transaction::new("entry-1-0f/3/4").id(), "entry-1-0f/3/4");
+}
