A row that the store refuses is not written again at once

What was seen: while a row of the leader is refused (400, as its value is too long), the leader sends it again every 0.5 s, and each instance its record of streams every 0.25 s. All calls are priced, and count for the store's rate.

Cause: a refusal counted as a failure of the call, after which the row is due.

Change: the same content is written again after 30 s, as a row that was written is; a record of streams with the next new stream.

The record of streams has no test of its own for it.

--- a/crates/gateway/src/leader_row.rs
+++ b/crates/gateway/src/leader_row.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use almondbank_control::key;
-use almondbank_port::commit;
 use almondbank_port::table::Transaction;
+use almondbank_port::{Category, commit};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -22,7 +22,7 @@
     key: String,
     /// Name of the value, for logs and for the id of the writer.
     name: &'static str,
-    /// What this leader has written last, and when.
+    /// What this leader has written last, or the store has refused, and when.
     written: Option<(Content, Duration)>,
 }
 
@@ -87,15 +87,16 @@
         others: Vec<(String, String)>,
     ) {
         let now = gateway.now();
-        let is_written = self
+        let is_settled = self
             .written
             .as_ref()
             .is_some_and(|(known, at)| *known == content && now < *at + REWRITE_INTERVAL);
-        if !is_written && self.write(gateway, value, others).await {
+        if !is_settled && self.write(gateway, value, others).await {
             self.written = Some((content, now));
         }
     }
 
+    // Returns whether the row was written, or refused as it would be again.
     async fn write<Value: Serialize>(
         &self,
         gateway: &Gateway,
@@ -114,6 +115,6 @@
         let table = &*gateway.ports.table;
         let written = commit::resolve(table, &*gateway.clock, &transaction, deadline).await;
         log::info!(row = self.name, rows, bytes, is_written = written.is_ok(); "row recorded");
-        written.is_ok()
+        written.map_or_else(|error| error.category() == Category::Refused, |_| true)
     }
 }
--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use almondbank_control::key;
-use almondbank_port::commit;
 use almondbank_port::table::{Row, Transaction};
+use almondbank_port::{Category, commit};
 
 use crate::entries::TOMBSTONE_TTL;
 use crate::gateway::Gateway;
@@ -113,6 +113,7 @@
     }
 }
 
+// Returns whether the record was written, or refused as it would be again.
 async fn write(gateway: &Gateway, record: &Record) -> bool {
     let writer = format!("{}/streams", gateway.incarnation);
     let key = key::streams_of(ENVIRONMENT, &gateway.settings.instance);
@@ -123,5 +124,5 @@
     if let Err(error) = &written {
         log::info!(error:% = error; "streams could not be recorded");
     }
-    written.is_ok()
+    written.map_or_else(|error| error.category() == Category::Refused, |_| true)
 }
