Long names and versions do not keep others from the records

What callers saw: none of the recorded versions of runners was known to instances that started, and no stream of an instance to others, as soon as registrations held version texts or names of services of 65 kB together, or one service had several hundred versions.

Cause: the records of versions and of streams are one row each. Only the ids of streams were counted towards its length, and the store refuses a longer value as a whole.

The record of versions has the services of the document, and eight versions of each: a stream of unknown origin goes on at none if there are several. A record of streams counts names as well, and leaves out what has no room alone.

--- a/crates/gateway/src/software.rs
+++ b/crates/gateway/src/software.rs
@@ -17,12 +17,25 @@
 /// Longest attempt id that is kept, in bytes.
 const MAX_ID_BYTES: usize = 128;
 
-/// Most bytes of attempt ids in a record.
+/// Most bytes of ids and names in a record.
 const MAX_RECORD_BYTES: usize = 24 << 10;
+/// Most versions of a service in a record. A stream of unknown origin goes on at none of several.
+const MAX_RECORDED_VERSIONS: usize = 8;
 
 /// Versions that serve or served lately, by service.
 pub type Versions = BTreeMap<id::Service, BTreeSet<id::Software>>;
 
+/// Removes what a record does not need: services other than `services`, and versions of a service
+/// beyond those that show that it has several.
+pub fn shorten<Value>(versions: &mut Versions, services: &BTreeMap<id::Service, Value>) {
+    versions.retain(|service, _| services.contains_key(service));
+    for of_service in versions.values_mut() {
+        while of_service.len() > MAX_RECORDED_VERSIONS {
+            of_service.pop_last();
+        }
+    }
+}
+
 /// Attempts that got the first event of a stream, by service and by the version that began
 /// it.
 pub type Record = BTreeMap<id::Service, BTreeMap<id::Software, BTreeSet<id::Attempt>>>;
@@ -118,10 +131,18 @@
             if !services.contains(service) {
                 continue;
             }
-            bytes += attempt.len();
-            if bytes > MAX_RECORD_BYTES {
-                break;
+            let known = record.get(service);
+            let mut added = attempt.len();
+            if known.is_none() {
+                added += service.len();
+            }
+            if known.is_none_or(|versions| !versions.contains_key(&origin.software)) {
+                added += origin.software.len();
+            }
+            if bytes + added > MAX_RECORD_BYTES {
+                continue;
             }
+            bytes += added;
             let versions = record.entry(service.clone()).or_default();
             let attempts = versions.entry(origin.software.clone()).or_default();
             attempts.insert(attempt.clone());
--- a/crates/gateway/src/version_record.rs
+++ b/crates/gateway/src/version_record.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::id::ENVIRONMENT;
 use crate::leader_row::{self, Row};
+use crate::software;
 
 /// Reads the versions in the store at the start, and writes them while this instance is the
 /// leader.
@@ -30,6 +31,9 @@
         if gateway.registry.watched(gateway.now()) < TOMBSTONE_TTL {
             versions = gateway.software.merge_recorded(versions);
         }
-        row.update(&gateway, versions.clone(), &versions).await;
+        if let Some(environment) = gateway.environment() {
+            software::shorten(&mut versions, &environment.services);
+            row.update(&gateway, versions.clone(), &versions).await;
+        }
     }
 }
--- a/crates/gateway/tests/software.rs
+++ b/crates/gateway/tests/software.rs
@@ -134,3 +134,16 @@
     history.begin(SERVICE, "last", "v2", second(30), second(20));
     assert_eq!(history.origin(SERVICE, "a", &seen, true), None);
 }
+
+#[test]
+fn a_service_whose_name_is_too_long_does_not_keep_others_from_a_record() {
+    let history = History::default();
+    let long = "s".repeat(60_000);
+    let services = BTreeSet::from([SERVICE.to_owned(), long.clone()]);
+    history.begin(SERVICE, "early", "v1", second(30), second(0));
+    history.begin(&long, "b", "v1", second(30), second(0));
+    history.begin(SERVICE, "late", "v1", second(30), second(0));
+    let record = history.own(&services, second(1));
+    assert_eq!(record.keys().collect::<Vec<_>>(), [SERVICE]);
+    assert_eq!(record[SERVICE]["v1"].len(), 2);
+}
