--- a/crates/daemon/tests/gateway_soak.rs
+++ b/crates/daemon/tests/gateway_soak.rs
@@ -7,6 +7,7 @@
 const SEED: u64 = 20_261_204;
 const FAULTS: usize = 6;
 const START_SEED: u64 = 93_002;
+const OTHER_ROWS: usize = 8;
 const LIMIT_SEED: u64 = 95_101;
 
 // With seed 148, the emulated engine responded to a stream request without events
@@ -52,6 +53,7 @@
 async fn no_gateway_ends_by_itself_or_fails_to_start_under_faults_around_its_start() {
     let mut plan = plan(START_SEED);
     plan.has_start_faults = true;
+    plan.other_rows = OTHER_ROWS;
     check(plan).await;
 }
 
