Changes that are too large for one response do not hide all later ones

Callers got 503 `no_runner` for good, on an instance that knew its environment and was ready, although a runner had registered. The store returns all changes since a version in one response; rows may hold 65,536 bytes, and what other writers rewrite counts. A response over the client's 4 MB failed as a broken connection, and the next call asked from the same version. It met instances that serve while many large rows are written, and those that lost contact for a while.

What is received for one response stays limited to 4 MB.

The test writes 100 rows of 65,536 bytes while a process serves, or while it has no contact with the store, and then starts a runner.

--- a/crates/daemon/tests/gateway_lists.rs
+++ b/crates/daemon/tests/gateway_lists.rs
@@ -4,16 +4,25 @@
 use std::path::Path;
 use std::time::Duration;
 
-use almondbank_emulator::document;
-use almondbank_emulator::process::Process;
+use almondbank_emulator::caller::{self, Call};
+use almondbank_emulator::document::{self, DESK};
+use almondbank_emulator::process::{Listener, Process};
+use almondbank_emulator::proxy::{self, Proxy};
+use almondbank_emulator::runner::{Config, Runner};
 use almondbank_emulator::store::Store;
 use nix::sys::signal::Signal;
+use tokio::time;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_almondbank");
 const PROCESSES: usize = 4;
 const PAGE_ROWS: usize = 50;
 const ROWS: usize = 140;
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const SERVED_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest value of a row, in bytes.
+const ROW_BYTES: usize = 1 << 16;
+/// Rows that are larger together than any answer that is read.
+const LARGE_ROWS: usize = 100;
 
 // Starts a store with rows that are no registrations.
 async fn store(key: impl Fn(usize) -> String) -> Store {
@@ -67,3 +76,52 @@
     store.refuse_reads(Some(2));
     start("every second read refused", &mut processes(&store)).await;
 }
+
+// Writes rows of other writers as large as a row may be.
+fn write_large_rows(store: &Store, count: usize) {
+    let value = vec![b'x'; ROW_BYTES];
+    for number in 0..count {
+        store.put("servers", &format!("k{number:04}"), &value);
+    }
+}
+
+async fn wait_served(name: &str, process: &Process) {
+    let address = process.address(Listener::Callers);
+    let polling = async {
+        for number in 0.. {
+            let call = Call::get("/look/x", &format!("look-{number}"));
+            let response = caller::send(address, &call).await;
+            if response.is_ok_and(|response| response.status == 200) {
+                return;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let served = time::timeout(SERVED_TIMEOUT, polling).await;
+    assert!(served.is_ok(), "{name}: {}", process.log().unwrap());
+}
+
+#[tokio::test]
+async fn changes_larger_than_an_answer_do_not_hide_later_runners() {
+    for loses_contact in [false, true] {
+        let store = store(|number| format!("k{number:04}")).await;
+        let link = Proxy::start(store.address()).await.unwrap();
+        let mut process = Process::new().unwrap();
+        std::fs::write(process.settings_path(), process.settings(link.address())).unwrap();
+        process.start(Path::new(BINARY)).unwrap();
+        process.wait_ready(READY_TIMEOUT).await.unwrap();
+        if loses_contact {
+            link.set_mode(proxy::Mode::Reset);
+            time::sleep(Duration::from_millis(500)).await;
+        }
+        write_large_rows(&store, LARGE_ROWS);
+        if loses_contact {
+            time::sleep(Duration::from_millis(500)).await;
+            link.set_mode(proxy::Mode::Pass);
+        }
+        time::sleep(Duration::from_millis(500)).await;
+        let runner = Runner::start(Config::plain("d-1", DESK), &store).await;
+        let _runner = runner.unwrap();
+        wait_served(&format!("lost contact: {loses_contact}"), &process).await;
+    }
+}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Whether a response is larger than the limit.
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        matches!(&*self.code, Code::Port(source) if source.is_too_large())
+    }
+
     /// Creates the error for malformed data.
     pub fn malformed(reason: impl fmt::Display) -> Self {
         Code::Malformed(reason.to_string()).into()
--- a/crates/port/src/error.rs
+++ b/crates/port/src/error.rs
@@ -37,6 +37,9 @@
         Timeout {
             display("no answer in time")
         }
+        TooLarge {
+            display("answer is larger than the limit")
+        }
         Status(status: u16) {
             display("refused with status {}", status)
         }
@@ -55,7 +58,9 @@
     pub fn category(&self) -> Category {
         match *self.code {
             Code::NotSent(_) => Category::NotSent,
-            Code::Broken(_) | Code::Timeout | Code::Malformed(_) => Category::Unknown,
+            Code::Broken(_) | Code::Timeout | Code::TooLarge | Code::Malformed(_) => {
+                Category::Unknown
+            }
             Code::Status(status) if status >= 500 => Category::Unknown,
             Code::Status(_) => Category::Refused,
             Code::Stale => Category::Stale,
@@ -80,6 +85,12 @@
         }
     }
 
+    /// Whether the response is larger than the client's limit.
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        matches!(*self.code, Code::TooLarge)
+    }
+
     /// Makes the error of a call without a response, for stand-ins and tests.
     #[must_use]
     pub fn timeout() -> Self {
--- a/crates/port/src/http.rs
+++ b/crates/port/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, StatusCode, body, header};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect;
@@ -219,7 +219,13 @@
         let body = Limited::new(body, self.max_response)
             .collect()
             .await
-            .map_err(|error| Code::Broken(error.to_string()))?
+            .map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    Code::TooLarge
+                } else {
+                    Code::Broken(error.to_string())
+                }
+            })?
             .to_bytes();
         Ok(Response::from_parts(head, body))
     }
