--- a/crates/daemon/tests/gateway_lists.rs
+++ b/crates/daemon/tests/gateway_lists.rs
@@ -23,6 +23,7 @@
 const ROW_BYTES: usize = 1 << 16;
 /// Rows that are larger together than any answer that is read.
 const LARGE_ROWS: usize = 100;
+const MANY_LARGE_ROWS: usize = 800;
 
 // Starts a store with rows that are no registrations.
 async fn store(key: impl Fn(usize) -> String) -> Store {
@@ -77,12 +78,13 @@
     start("every second read refused", &mut processes(&store)).await;
 }
 
-// Writes rows of other writers as large as a row may be.
-fn write_large_rows(store: &Store, count: usize) {
+// Writes rows of other writers as large as a row may be, and returns the bytes of all.
+fn write_large_rows(store: &Store, count: usize) -> usize {
     let value = vec![b'x'; ROW_BYTES];
     for number in 0..count {
         store.put("servers", &format!("k{number:04}"), &value);
     }
+    count * ROW_BYTES
 }
 
 async fn wait_served(name: &str, process: &Process) {
@@ -125,3 +127,20 @@
         wait_served(&format!("lost contact: {loses_contact}"), &process).await;
     }
 }
+
+#[tokio::test]
+async fn rows_of_other_writers_do_not_stay_in_memory_while_a_list_is_read() {
+    let store = Store::start().await.unwrap();
+    let document = document::desired(1, &["m"]);
+    store.put("op", "config", document.to_string().as_bytes());
+    let bytes = write_large_rows(&store, MANY_LARGE_ROWS);
+    let runner = Runner::start(Config::plain("d-1", DESK), &store).await;
+    let _runner = runner.unwrap();
+    let mut process = Process::new().unwrap();
+    std::fs::write(process.settings_path(), process.settings(store.address())).unwrap();
+    process.start(Path::new(BINARY)).unwrap();
+    wait_served("many large rows", &process).await;
+    let peak = process.peak_kb().unwrap();
+    let bound = u64::try_from(bytes / 1024).unwrap();
+    assert!(peak < bound, "{peak} kB for rows of {bound} kB");
+}
