A refused read of the recorded environment does not let an older one serve

Callers got 404 on a route that the operator had added and the store had acknowledged, from an instance that started after the store went back to a copy and nobody was left that had the newer environment. The leader had recorded that environment, but the start read the rows with its text once, and the row of the lease once: a refusal gave them up. The first row was read again after 0.5 s, yet an instance without peers serves after 0.25 s by the environment that the store lists.

All three reads now repeat until the store responds, with the loop that other rows of the leader have. While the record is being read, an instance waits for it as long as for a newer environment of a peer, 2 s at most.

Streams of other instances are read again already.

--- a/crates/gateway/src/environment_record.rs
+++ b/crates/gateway/src/environment_record.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::Gateway;
 use crate::id::ENVIRONMENT;
-use crate::leader_row::Row;
+use crate::leader_row::{self, Row};
 
 /// Interval at which the leader checks whether the store has lost the environment.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -22,10 +22,13 @@
 /// store lists an older environment.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut row = Row::new(key::environment(ENVIRONMENT), "environment");
-    if let Some(environment) = row.read(&gateway).await {
+    gateway.join.set_reads_record(true);
+    if let Some(environment) = row.read::<mesh::Environment>(&gateway).await {
+        gateway.join.record_newest(environment.version);
         let environment = read_parts(&gateway, environment).await;
         receive(&gateway, &environment);
     }
+    gateway.join.set_reads_record(false);
     check_history(&gateway).await;
     loop {
         tokio::select! {
@@ -89,24 +92,19 @@
         return environment;
     }
     let prefix = key::environment_parts(ENVIRONMENT);
-    match gateway.ports.table.scan(&prefix).await {
-        Ok(rows) => {
-            let parts = rows
-                .iter()
-                .filter_map(|row| key::decode::<mesh::Environment>(&row.key, &row.value).ok());
-            let parts = parts.filter(|part| part.version == environment.version);
-            environment.text = parts.map(|part| part.text).collect();
-        }
-        Err(error) => {
-            log::info!(error:% = error; "text of the recorded environment could not be read");
-        }
-    }
+    let table = &gateway.ports.table;
+    let rows = leader_row::read(gateway, "environment's text", || table.scan(&prefix)).await;
+    let rows = rows.unwrap_or_default();
+    let parts = rows
+        .iter()
+        .filter_map(|row| key::decode::<mesh::Environment>(&row.key, &row.value).ok());
+    let parts = parts.filter(|part| part.version == environment.version);
+    environment.text = parts.map(|part| part.text).collect();
     environment
 }
 
 fn receive(gateway: &Gateway, recorded: &mesh::Environment) {
     if recorded.text.is_empty() {
-        gateway.join.record_newest(recorded.version);
         return;
     }
     match gateway.ports.documents.decode(&recorded.text) {
@@ -121,15 +119,11 @@
 // Reads in which history of the store the last lease was taken.
 async fn check_history(gateway: &Gateway) {
     let table = &gateway.ports.table;
-    let read = table.get(&key::lease(ENVIRONMENT)).await;
-    let row = match read {
-        Ok(row) => row,
-        Err(error) => {
-            log::info!(error:% = error; "lease row could not be read");
-            return;
-        }
-    };
-    let lease: Option<row::Lease> = row.and_then(|row| key::decode(&row.key, &row.value).ok());
+    let key = key::lease(ENVIRONMENT);
+    let row = leader_row::read(gateway, "lease", || table.get(&key)).await;
+    let lease: Option<row::Lease> = row
+        .flatten()
+        .and_then(|row| key::decode(&row.key, &row.value).ok());
     let is_present = |lease: row::Lease| lease::history(lease.fencing) == table.history();
     if lease.is_some_and(is_present) {
         gateway.join.record_settled();
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -10,7 +10,8 @@
 
 /// Time after the environment is known in which a serving peer reports, if there is one.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after the environment is known in which a newer one arrives from a peer.
+/// Time after the environment is known in which a newer one arrives from a peer, or from the
+/// record.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The start of one instance, until it may serve.
@@ -24,6 +25,8 @@
     is_complete: bool,
     /// Whether a lease was taken since the store came back, if it ever did.
     is_settled: bool,
+    /// Whether the record of the newest environment is still being read.
+    reads_record: bool,
     /// Time at which an environment was known first.
     known_at: Option<Duration>,
     /// Newest environment that serving peers report or that is recorded.
@@ -36,6 +39,11 @@
         self.inner.lock().is_settled = true;
     }
 
+    /// Records whether the record of the newest environment is still being read.
+    pub fn set_reads_record(&self, reads_record: bool) {
+        self.inner.lock().reads_record = reads_record;
+    }
+
     /// Records that the environment `version` is known to a peer that serves, or was to a leader.
     pub fn record_newest(&self, version: u64) {
         let mut inner = self.inner.lock();
@@ -50,6 +58,7 @@
             let elapsed = now.saturating_sub(*inner.known_at.get_or_insert(now));
             inner.is_complete = match inner.newest {
                 Some(newest) => version >= newest || elapsed >= FETCH_TIMEOUT,
+                None if inner.reads_record => elapsed >= FETCH_TIMEOUT,
                 None => inner.is_settled || elapsed >= REPORT_TIMEOUT,
             };
         }
--- a/crates/gateway/src/leader_row.rs
+++ b/crates/gateway/src/leader_row.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use almondbank_control::key;
-use almondbank_port::commit;
 use almondbank_port::table::Transaction;
+use almondbank_port::{Result, commit};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -16,6 +16,28 @@
 const REWRITE_INTERVAL: Duration = Duration::from_secs(30);
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Repeats a read until the store responds; `None` if the instance stops before. Logs call the
+/// rows `name`.
+pub(crate) async fn read<Value, Reading>(
+    gateway: &Gateway,
+    name: &str,
+    read: impl Fn() -> Reading,
+) -> Option<Value>
+where
+    Reading: Future<Output = Result<Value>>,
+{
+    while !gateway.stopped.is_cancelled() {
+        match read().await {
+            Ok(value) => return Some(value),
+            Err(error) => {
+                log::info!(row = name, error:% = error; "row could not be read");
+                gateway.clock.sleep(INTERVAL).await;
+            }
+        }
+    }
+    None
+}
+
 /// A row whose value has `Content`, which decides whether it is written again.
 #[derive(Debug)]
 pub(crate) struct Row<Content> {
@@ -37,24 +59,13 @@
 
     /// Reads the row; repeats that until the store responds or the instance stops.
     pub(crate) async fn read<Value: DeserializeOwned>(&self, gateway: &Gateway) -> Option<Value> {
-        while !gateway.stopped.is_cancelled() {
-            match gateway.ports.table.get(&self.key).await {
-                Ok(row) => {
-                    let row = row?;
-                    let value = key::decode(&row.key, &row.value);
-                    return value
-                        .inspect_err(|error| {
-                            log::warn!(row = self.name, error:% = error; "row in the store is malformed");
-                        })
-                        .ok();
-                }
-                Err(error) => {
-                    log::info!(row = self.name, error:% = error; "row could not be read");
-                    gateway.clock.sleep(INTERVAL).await;
-                }
-            }
-        }
-        None
+        let table = &gateway.ports.table;
+        let row = read(gateway, self.name, || table.get(&self.key)).await??;
+        key::decode(&row.key, &row.value)
+            .inspect_err(|error| {
+                log::warn!(row = self.name, error:% = error; "row in the store is malformed");
+            })
+            .ok()
     }
 
     /// Whether this leader has written the row.
--- a/crates/gateway/tests/join.rs
+++ b/crates/gateway/tests/join.rs
@@ -28,6 +28,26 @@
     assert!(join.may_serve(1, at(300)));
 }
 
+#[test]
+fn an_instance_waits_for_a_record_that_is_read_late() {
+    let join = Join::default();
+    join.set_reads_record(true);
+    assert!(!join.may_serve(1, at(0)));
+    assert!(!join.may_serve(1, at(1_900)));
+    join.record_newest(2);
+    join.set_reads_record(false);
+    assert!(!join.may_serve(1, at(1_950)));
+    assert!(join.may_serve(2, at(1_960)));
+}
+
+#[test]
+fn a_record_that_is_never_read_does_not_keep_an_instance_from_serving() {
+    let join = Join::default();
+    join.set_reads_record(true);
+    assert!(!join.may_serve(1, at(0)));
+    assert!(join.may_serve(1, at(2_100)));
+}
+
 #[test]
 fn an_instance_serves_at_once_if_the_store_came_back_long_ago() {
     let join = Join::default();
