Fields of log lines whose text is "None" are kept

What was seen: a line about a runner named `None` did not name it, nor lines about a path, a tenant or a model of that name.

Cause: the logger leaves out fields that are displayed as `None`, as options without a value are, whatever their type.

Change: fields that are texts are written as they are; only others are left out.

Test before the change: `names_of_any_text_are_whole_in_lines_of_json` failed at `None`, the first of its 15 names; after it passes for all, among them controls, quotes, line breaks and 200 bytes: all lines of the process are JSON.

--- a/crates/daemon/src/json_log.rs
+++ b/crates/daemon/src/json_log.rs
@@ -20,6 +20,9 @@
     "almondbank_port",
 ];
 
+/// How an option without a value is displayed; its field is left out.
+const ABSENT: &str = "None";
+
 /// Installs the logger for the process.
 ///
 /// # Errors
@@ -82,12 +85,16 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        let value = value
-            .to_u64()
+        let typed = value
+            .to_borrowed_str()
             .map(Value::from)
-            .or_else(|| value.to_bool().map(Value::from))
-            .unwrap_or_else(|| Value::from(value.to_string()));
-        if value != "None" {
+            .or_else(|| value.to_u64().map(Value::from))
+            .or_else(|| value.to_bool().map(Value::from));
+        let value = typed.or_else(|| {
+            let text = value.to_string();
+            (text != ABSENT).then(|| Value::from(text))
+        });
+        if let Some(value) = value {
             self.0.insert(key.to_string(), value);
         }
         Ok(())
--- a/crates/daemon/tests/gateway_log.rs
+++ b/crates/daemon/tests/gateway_log.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use almondbank_emulator::caller::{Call, Connection};
+use almondbank_emulator::deployment::wait_until;
 use almondbank_emulator::document;
 use almondbank_emulator::process::{Listener, Process};
 use almondbank_emulator::store::Store;
+use nix::sys::signal::Signal;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// More requests than lines may wait to be written.
@@ -39,3 +41,49 @@
     let peak = process.peak_kb().unwrap();
     assert!(peak < MAX_PEAK_KB, "{peak} kB");
 }
+
+#[tokio::test]
+async fn names_of_any_text_are_whole_in_lines_of_json() {
+    let long = "&".repeat(200);
+    let names = [
+        "None",
+        "Some(1)",
+        "12",
+        "true",
+        "null",
+        "a\nb",
+        "\r\n",
+        "\"",
+        "\\",
+        "{}",
+        "\u{1}\0",
+        "\u{7f}\u{2028}",
+        "ძ🚀",
+        " ",
+        &long,
+    ];
+    let store = Store::start().await.unwrap();
+    let document = document::desired(1, &["m"]);
+    store.put("op", "config", document.to_string().as_bytes());
+    for name in names {
+        store.put("servers", name, b"[]");
+    }
+    let mut process = Process::new().unwrap();
+    let settings = process.settings(store.address());
+    std::fs::write(process.settings_path(), settings).unwrap();
+    process
+        .start(Path::new(env!("CARGO_BIN_EXE_almondbank")))
+        .unwrap();
+    process.wait_ready(READY_TIMEOUT).await.unwrap();
+    process.signal(Signal::SIGTERM).unwrap();
+    wait_until(|| process.ended().unwrap().is_some())
+        .await
+        .unwrap();
+    let text = process.log().unwrap();
+    let lines = text.lines().map(|line| serde_json::from_str(line).unwrap());
+    let lines: Vec<serde_json::Value> = lines.collect();
+    for name in names {
+        let is_named = |line: &serde_json::Value| line["runner"] == name;
+        assert!(lines.iter().any(is_named), "{name:?}: {text}");
+    }
+}
