Names of environments are encoded in the control program's paths

What operators saw: `--environment a?b` or `a#b` asked for another path than that of the environment, `a/b` for one that does not exist, and a space or a letter beyond ASCII ended the command as a usage error.

Cause: the name was put into the path as it is.

Change: it is percent-encoded as one segment.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -9,7 +9,7 @@
 
 use crate::client::Client;
 use crate::failure::Failure;
-use crate::render;
+use crate::{path, render};
 
 const KEY_ENV: &str = "ALMONDBANK_KEY";
 
@@ -102,7 +102,7 @@
             base,
             document: text,
         };
-        let path = format!("/environments/{}/document", parsed.environment);
+        let path = path::of_environment(&parsed.environment, "document");
         let accepted: operator::Accepted = self.client().post(&path, &apply).await?;
         self.print(&accepted, || {
             format!("accepted as revision {}", accepted.revision)
@@ -164,7 +164,7 @@
             revision,
             base,
         };
-        let path = format!("/environments/{environment}/promote");
+        let path = path::of_environment(environment, "promote");
         let accepted: operator::Accepted = self.client().post(&path, &promote).await?;
         self.print(&accepted, || {
             format!("accepted as revision {}", accepted.revision)
@@ -173,7 +173,7 @@
     }
 
     async fn history(&self) -> Result<(), Failure> {
-        let path = format!("/environments/{}/history", self.environment()?);
+        let path = path::of_environment(self.environment()?, "history");
         let entries: Vec<row::Audit> = self.client().get(&path).await?;
         self.print(&entries, || render::history(&entries));
         Ok(())
@@ -203,7 +203,7 @@
             runner,
             draining: !self.undo,
         };
-        let path = format!("/environments/{}/drain", self.environment()?);
+        let path = path::of_environment(self.environment()?, "drain");
         let done: operator::Drain = self.client().post(&path, &drain).await?;
         self.print(&done, || {
             let state = if done.draining {
@@ -228,7 +228,7 @@
         revision: Option<u64>,
     ) -> Result<operator::Edition, Failure> {
         let query = revision.map_or_else(String::new, |n| format!("?revision={n}"));
-        let path = format!("/environments/{environment}/document{query}");
+        let path = path::of_environment(environment, &format!("document{query}"));
         self.client().get(&path).await
     }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod command;
 mod failure;
+mod path;
 mod render;
 
 use std::process::ExitCode;
