Settings with characters that YAML does not accept as they are start

What callers saw: an instance whose name or data centre holds DEL (U+007F) does not start: `not YAML: unexpected character`.

Cause: values are rendered as JSON, which leaves such characters as they are, and the file is read as YAML, which does not accept controls from U+007F on, or takes some of them for line breaks.

Change: these characters are turned into their escapes before rendered settings are read.

Test before the change: `names_that_yaml_reads_as_other_types_are_names`, with 24 more names, failed at U+007F, the seventh of them; after it passes, with U+0085, U+FEFF, U+FFFE as well, and so do the tests of the wire crate.

--- a/crates/wire/src/reading.rs
+++ b/crates/wire/src/reading.rs
@@ -53,7 +53,7 @@
 pub fn read(text: &str) -> Result<Reading> {
     let text = text.trim_start_matches('\u{feff}').trim_end_matches('\0');
     let schema: Value = serde_json::from_str(SCHEMA).map_err(Code::Json)?;
-    let Value::Object(mut fields) = yaml::read(text)? else {
+    let Value::Object(mut fields) = yaml::read_rendered(text)? else {
         let reason = "is not a mapping of settings";
         return Err(Code::Findings(vec![Finding::new("", reason)]).into());
     };
--- a/crates/wire/src/yaml.rs
+++ b/crates/wire/src/yaml.rs
@@ -1,6 +1,7 @@
 //! Parses YAML, validates it against a JSON Schema and reports all errors at once.
 
 use std::collections::BTreeSet;
+use std::fmt::Write;
 
 use jsonschema::Validator;
 use serde::Serialize;
@@ -32,7 +33,7 @@
 ///
 /// Fails if the text is not YAML, or with all violations of the schema.
 pub(crate) fn parse_rendered<T: DeserializeOwned>(text: &str, schema: &str) -> Result<T> {
-    let mut value = read(text)?;
+    let mut value = read_rendered(text)?;
     if let Value::Object(fields) = &mut value {
         fields.retain(|_, field| !field.is_null());
         fields.values_mut().for_each(make_whole);
@@ -40,7 +41,27 @@
     check(value, schema)
 }
 
-pub(crate) fn read(text: &str) -> Result<Value> {
+/// Reads text whose values were rendered as JSON. Of what JSON leaves as it is in a text, YAML does
+/// not accept all, and takes some for line breaks.
+pub(crate) fn read_rendered(text: &str) -> Result<Value> {
+    let mut escaped = String::with_capacity(text.len());
+    for character in text.trim_start_matches('\u{feff}').chars() {
+        match character {
+            '\u{7f}'..='\u{9f}'
+            | '\u{2028}'
+            | '\u{2029}'
+            | '\u{feff}'
+            | '\u{fffe}'
+            | '\u{ffff}' => {
+                let _ = write!(escaped, "\\u{:04x}", u32::from(character));
+            }
+            _ => escaped.push(character),
+        }
+    }
+    read(&escaped)
+}
+
+fn read(text: &str) -> Result<Value> {
     let options = serde_saphyr::options! {
         budget: serde_saphyr::budget! {
             max_nodes: MAX_NODES,
