A quarantine with long ids is no longer than a row

What callers would see: with runners whose ids have up to 200 bytes, or parts whose ids have up to 128, the quarantine of 192 suspects and 192 crashes was not recorded, so that instances that start after all were replaced send what crashes runners to them again.

Cause: the record was bounded by numbers only, and the store refuses a value of more than 65,536 bytes.

Change: suspects and crashes have 28 KiB each; what has no room is left out, the oldest first.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,8 +14,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use almondbank_control::key;
 use almondbank_wire::mesh;
 use parking_lot::Mutex;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 use crate::bounded::make_room;
@@ -46,6 +48,8 @@
 const MAX_QUARANTINED: usize = 1024;
 /// Most suspects in quarantine in a record, and most suspicions of crashes, the latest.
 const MAX_RECORDED: usize = 192;
+/// Most bytes of the suspects in quarantine in a record, and of the crashes. A row holds both.
+const MAX_RECORDED_BYTES: usize = 28 << 10;
 /// Most suspicions of all crashes; the oldest crash makes room.
 const MAX_SUSPICIONS: usize = 1 << 16;
 
@@ -311,8 +315,8 @@
         crashing.sort_by_key(|crashing| crashing.age_ms);
         crashing.truncate(MAX_RECORDED);
         let message = mesh::Quarantine {
-            crashes: inner.crashes_under(&last_try, now),
-            crashing,
+            crashes: fitting(inner.crashes_under(&last_try, now)),
+            crashing: fitting(crashing),
             sound: Vec::new(),
         };
         Record {
@@ -337,6 +341,17 @@
     }
 }
 
+// Leaves out what a record has no room for after the items before it.
+fn fitting<Item: Serialize>(mut items: Vec<Item>) -> Vec<Item> {
+    let mut room = MAX_RECORDED_BYTES;
+    items.retain(|item| {
+        let rest = room.checked_sub(key::encode(item).len());
+        room = rest.unwrap_or(room);
+        rest.is_some()
+    });
+    items
+}
+
 impl Inner {
     fn crashing(&self, now: Duration) -> Vec<mesh::Crashing> {
         let quarantined = self.quarantined.iter();
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use almondbank_control::key;
 use almondbank_gateway::call::Call;
 use almondbank_gateway::crash::{Report, Run, Suspicion};
 use almondbank_gateway::prompt::{Part, Parts};
@@ -13,6 +14,8 @@
 use hyper::header::HeaderValue;
 use quickcheck::quickcheck;
 
+/// Longest value of a row in the store, less the id of its writer, in bytes.
+const MAX_ROW_BYTES: usize = 60_000;
 const PARTS: [&str; 2] = ["first", "second"];
 
 fn at(millis: u64) -> Duration {
@@ -314,6 +317,31 @@
     assert!(crashes.map(|crash| crash.suspicions.len()).sum::<usize>() <= 192);
 }
 
+#[test]
+fn a_record_of_long_ids_is_no_longer_than_a_row() {
+    let tracker = Tracker::default();
+    let crashing = (0..200).map(|number| mesh::Crashing {
+        suspect: mesh::Suspect::Part(format!("{number:0128}")),
+        age_ms: number,
+    });
+    let quarantine = mesh::Quarantine {
+        crashing: crashing.collect(),
+        ..mesh::Quarantine::default()
+    };
+    let _ = tracker.merge(&quarantine, at(0));
+    for crash in 0..200_u64 {
+        let fingerprint = format!("{:064}", crash / 2);
+        let (runner, millis) = (format!("{crash:0200}"), 1_000 * crash);
+        let suspects = vec![request(&fingerprint)];
+        let _ = record_sent(&tracker, suspects, &runner, millis, millis + 10);
+    }
+    let message = tracker.record(at(200_000)).message;
+    assert!(message.crashing.len() > 100, "{}", message.crashing.len());
+    assert!(message.crashes.len() > 60, "{}", message.crashes.len());
+    let bytes = key::encode(&message).len();
+    assert!(bytes < MAX_ROW_BYTES, "{bytes} bytes");
+}
+
 #[test]
 fn overlong_ids_of_a_peer_are_left_out() {
     let tracker = Tracker::default();
