Tickets of instances with any name are read from a header

What callers would see: with an instance whose name holds a slash, a space, a control or a letter beyond ASCII, a key that begins with its ticket was refused with 400, or taken for a key without a ticket, or, as with `10.1/a`, for the ticket of another instance, so that the outcome of the call was unknown.

Cause: the name stands in the ticket as it is, the ticket in a header, and a slash ends it there.

Change: the incarnation is percent-encoded in a ticket and decoded when it is read. Tickets of names without such characters stay as they are.

--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -3,10 +3,14 @@
 use std::fmt;
 use std::time::Duration;
 
+use percent_encoding::{AsciiSet, CONTROLS, percent_decode_str, utf8_percent_encode};
+
 use crate::error::Code;
 use crate::{Error, id};
 
 const SEPARATOR: char = '.';
+/// What is encoded in an incarnation, as a ticket is sent in a header with a slash behind it.
+const ENCODED: &AsciiSet = &CONTROLS.add(b' ').add(b'%').add(b'/');
 
 /// The right to run a call, bound to one incarnation of one instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -20,7 +24,8 @@
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let issued = self.issued.as_millis();
-        write!(f, "{}{SEPARATOR}{issued}", self.incarnation)
+        let incarnation = utf8_percent_encode(&self.incarnation, ENCODED);
+        write!(f, "{incarnation}{SEPARATOR}{issued}")
     }
 }
 
@@ -30,11 +35,13 @@
     fn try_from(text: &str) -> Result<Self, Error> {
         let (incarnation, issued) = text.rsplit_once(SEPARATOR).ok_or(Code::Ticket)?;
         let issued_ms = issued.parse().map_err(|_| Code::Ticket)?;
+        let decoded = percent_decode_str(incarnation).decode_utf8();
+        let incarnation = decoded.map_err(|_| Code::Ticket)?;
         if incarnation.is_empty() || incarnation.len() > 128 {
             return Err(Code::Ticket.into());
         }
         Ok(Self {
-            incarnation: incarnation.to_owned(),
+            incarnation: incarnation.into_owned(),
             issued: Duration::from_millis(issued_ms),
         })
     }
