Peers hand on a list that has no usable runner

A process that started while the store refused its reads was not ready until the store served it, although peers had read the list: instances ask only for a list with a newer revision than their own, and a list in which no row is a registration had revision 0, which is also that of an instance that has none. A list that is read from the store without a runner now has the revision at which it was read.

The test kills four of six processes and starts them while the store refuses their reads.

--- a/crates/daemon/tests/gateway_lists.rs
+++ b/crates/daemon/tests/gateway_lists.rs
@@ -1,6 +1,7 @@
 //! Starts of gateway processes whose store lists rows of several pages, with keys that others
 //! choose.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use almondbank_emulator::process::{Listener, Process};
 use almondbank_emulator::proxy::{self, Proxy};
 use almondbank_emulator::runner::{Config, Runner};
-use almondbank_emulator::store::Store;
+use almondbank_emulator::store::{Mode, Store};
 use nix::sys::signal::Signal;
 use tokio::time;
 
@@ -23,6 +24,10 @@
 const ROW_BYTES: usize = 1 << 16;
 /// Rows that are larger together than any answer that is read.
 const LARGE_ROWS: usize = 100;
+const GROUP: usize = 6;
+const SURVIVORS: usize = 2;
+/// Time in which a process that starts is ready.
+const START_TIME: Duration = Duration::from_secs(4);
 const MANY_LARGE_ROWS: usize = 800;
 
 // Starts a store with rows that are no registrations.
@@ -144,3 +149,80 @@
     let bound = u64::try_from(bytes / 1024).unwrap();
     assert!(peak < bound, "{peak} kB for rows of {bound} kB");
 }
+
+// Starts processes that know each other, each with an address of the store of its own.
+async fn start_group(store: &Store) -> (Vec<Process>, Vec<SocketAddr>) {
+    let mut processes: Vec<_> = (0..GROUP).map(|_| Process::new().unwrap()).collect();
+    let seeds: Vec<_> = processes
+        .iter()
+        .map(|process| format!("\"{}\"", process.address(Listener::Peers)))
+        .collect();
+    let mut addresses = Vec::new();
+    for (number, process) in processes.iter().enumerate() {
+        let address = store.add_listener().await.unwrap();
+        let settings = process
+            .settings(address)
+            .replace("entry-1", &format!("entry-{number}"))
+            .replace("seeds: []", &format!("seeds: [{}]", seeds.join(",")));
+        std::fs::write(process.settings_path(), settings).unwrap();
+        addresses.push(address);
+    }
+    start("group", &mut processes).await;
+    (processes, addresses)
+}
+
+#[tokio::test]
+async fn processes_that_the_store_refuses_at_their_start_are_ready_by_those_that_serve() {
+    for (mode, has_runner) in [
+        (Mode::Unavailable, true),
+        (Mode::Unresponsive, true),
+        (Mode::Unavailable, false),
+    ] {
+        let store = store(|number| format!("a{number:03}&b")).await;
+        let mut runners = Vec::new();
+        if has_runner {
+            let runner = Runner::start(Config::plain("d-1", DESK), &store).await;
+            runners.push(runner.unwrap());
+        }
+        let (mut processes, addresses) = start_group(&store).await;
+        time::sleep(Duration::from_secs(1)).await;
+        for (process, address) in processes.iter().zip(addresses).skip(SURVIVORS) {
+            process.signal(Signal::SIGKILL).unwrap();
+            store.set_mode_at(address, mode);
+        }
+        time::sleep(Duration::from_millis(300)).await;
+        let name = format!("{mode:?}, runner: {has_runner}");
+        start_in_time(&name, &mut processes[SURVIVORS..]).await;
+    }
+}
+
+async fn start_in_time(name: &str, processes: &mut [Process]) {
+    let begun = time::Instant::now();
+    start(name, processes).await;
+    let taken = begun.elapsed();
+    assert!(taken < START_TIME, "{name}: ready after {taken:?}");
+}
+
+#[tokio::test]
+async fn rows_that_change_all_the_time_do_not_keep_processes_from_being_ready() {
+    let store = store(|number| format!("a{number:03}&b")).await;
+    let runner = Runner::start(Config::plain("d-1", DESK), &store).await;
+    let _runner = runner.unwrap();
+    let (mut processes, _) = start_group(&store).await;
+    let writer = store.clone();
+    let writing = tokio::spawn(async move {
+        for number in 0.. {
+            let key = format!("a{:03}&b", number % (4 * ROWS));
+            writer.put("servers", &key, b"{\"service\":[1]}");
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+    for survivors in [SURVIVORS, 0] {
+        for process in &processes[survivors..] {
+            process.signal(Signal::SIGKILL).unwrap();
+        }
+        time::sleep(Duration::from_millis(300)).await;
+        start_in_time("rows change", &mut processes[survivors..]).await;
+    }
+    writing.abort();
+}
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -158,6 +158,10 @@
         for runner in missing {
             inner.remove(&runner, revision, now, self.reconcile);
         }
+        // Peers ask only for what has a revision, also if the list has no runner.
+        if inner.newest == 0 {
+            inner.newest = revision;
+        }
         inner.loaded_at.get_or_insert(now);
         inner.purge_tombstones(now);
         drop(inner);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -88,7 +88,7 @@
             REGISTRATIONS_PAUSE
         };
         gateway.clock.sleep(pause).await;
-        // Peers send the list only once they know of a runner.
+        // It reads the list itself until it has it from the store or from a peer.
         if !is_follower(&gateway) && gateway.registry.is_loaded() {
             log::info!("stopped following the registrations in the store");
             gateway.follows.store(false, Ordering::Relaxed);
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -40,6 +40,21 @@
     registry.usable("s", now).len()
 }
 
+#[test]
+fn a_list_without_runners_is_handed_on() {
+    let registry = Registry::new(RECONCILE);
+    registry.replace(Vec::new(), 7, second(0));
+    let list = mesh::Registry {
+        after: None,
+        revision: registry.newest_revision(),
+        registrations: registry.registrations(),
+        removed: Vec::new(),
+    };
+    let starting = Registry::new(RECONCILE);
+    assert!(starting.merge(list, second(1)));
+    assert!(starting.is_loaded());
+}
+
 #[test]
 fn a_draining_runner_gets_no_new_requests() {
     let registry = Registry::new(RECONCILE);
