--- a/crates/daemon/tests/gateway_lists.rs
+++ b/crates/daemon/tests/gateway_lists.rs
@@ -17,6 +17,7 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_almondbank");
 const PROCESSES: usize = 4;
 const PAGE_ROWS: usize = 50;
+const SMALL_PAGE_ROWS: usize = 5;
 const ROWS: usize = 140;
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const SERVED_TIMEOUT: Duration = Duration::from_secs(20);
@@ -196,6 +197,19 @@
     }
 }
 
+#[tokio::test]
+async fn many_pages_of_which_some_are_refused_do_not_keep_processes_from_being_ready_in_time() {
+    let store = store(|number| format!("a{number:03}&b")).await;
+    let (mut processes, _) = start_group(&store).await;
+    for process in &processes {
+        process.signal(Signal::SIGKILL).unwrap();
+    }
+    time::sleep(Duration::from_millis(300)).await;
+    store.set_page_rows(SMALL_PAGE_ROWS);
+    store.refuse_reads(Some(3));
+    start_in_time("each third read refused", &mut processes).await;
+}
+
 async fn start_in_time(name: &str, processes: &mut [Process]) {
     let begun = time::Instant::now();
     start(name, processes).await;
