Tests: a line of a listener's failure is waited for

an_address_of_another_machine_keeps_only_its_listener_from_serving read the log once, as soon as the process was ready. The test wants the same line, within the time in which a process is to be ready.

--- a/crates/daemon/tests/gateway_start.rs
+++ b/crates/daemon/tests/gateway_start.rs
@@ -236,8 +236,13 @@
         } else {
             process.wait_ready(READY_TIMEOUT).await.unwrap();
         }
-        let log = process.log().unwrap();
-        assert!(log.contains("cannot listen"), "{listener}: {log}");
+        let logging = async {
+            while !process.log().unwrap().contains("cannot listen") {
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let logged = time::timeout(READY_TIMEOUT, logging).await;
+        assert!(logged.is_ok(), "{listener}: {}", process.log().unwrap());
     }
 }
 
